Reach the platform and other entries, and keep instances, members and configuration

Change: adapters for the object API, the instance list and the cloud API over HTTP, and for other entries over gRPC; a loader of the configuration; first controllers for the instance list, membership and the configuration in force. The controllers poll; heartbeats carry every known state up to a bound. Cause of one fault met on the way: conditions of writes were put into a header set of their own and never sent; the check 'a write is told by its answer' failed with Conflict in place of Written and passes now.

--- /dev/null
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/peer/PeerMessageMarshaller.kt
@@ -0,0 +1,42 @@
+package org.yuccajunction.adapters.peer
+
+import io.grpc.MethodDescriptor
+import io.grpc.Status
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.protobuf.ProtoBuf
+import java.io.InputStream
+
+/**
+ * Writes and reads messages of one type in Protocol Buffers form.
+ *
+ * A message of more than [maxBytes] bytes, or one that can't be read, ends the call.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+internal class PeerMessageMarshaller<T : Any>(private val serializer: KSerializer<T>, private val maxBytes: Int) :
+    MethodDescriptor.Marshaller<T> {
+    override fun stream(value: T): InputStream = ProtoBuf.encodeToByteArray(serializer, value).inputStream()
+
+    override fun parse(stream: InputStream): T {
+        val bytes = stream.readNBytes(maxBytes + 1)
+        if (bytes.size > maxBytes) {
+            throw Status.RESOURCE_EXHAUSTED.withDescription("message above $maxBytes bytes").asRuntimeException()
+        }
+        return decode(bytes)
+    }
+
+    private fun decode(bytes: ByteArray): T =
+        try {
+            ProtoBuf.decodeFromByteArray(serializer, bytes)
+        } catch (exception: SerializationException) {
+            throw unreadable(exception)
+        } catch (exception: IllegalArgumentException) {
+            throw unreadable(exception)
+        } catch (exception: IndexOutOfBoundsException) {
+            throw unreadable(exception)
+        }
+
+    private fun unreadable(cause: Exception): RuntimeException =
+        Status.INVALID_ARGUMENT.withDescription("unreadable message").withCause(cause).asRuntimeException()
+}
--- /dev/null
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/platform/HttpObjectStore.kt
@@ -0,0 +1,136 @@
+package org.yuccajunction.adapters.platform
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.delete
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.parameter
+import io.ktor.client.request.put
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectVersion
+import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoredObject
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The object API over HTTP, as docs/PLATFORM.md describes it.
+ *
+ * A write whose answer did not come, or came with an unexpected status, is [ObjectWriting.Unknown].
+ */
+public class HttpObjectStore(private val client: HttpClient, private val endpoint: Endpoint) : ObjectStore {
+    override suspend fun read(key: String): ObjectReading =
+        answerOf { client.get(url("/v1/objects/$key")).reading(key) }
+            .valueOr { ObjectReading.Unavailable(it.detail) }
+
+    override suspend fun write(key: String, value: String, expected: ExpectedVersion): ObjectWriting =
+        answerOf {
+            val response = client.put(url("/v1/objects/$key")) {
+                condition(expected)
+                setBody(value)
+            }
+            response.writing()
+        }.valueOr(::writingFailure)
+
+    override suspend fun remove(key: String, expected: ExpectedVersion): ObjectWriting =
+        answerOf { client.delete(url("/v1/objects/$key")) { condition(expected) }.writing() }
+            .valueOr(::writingFailure)
+
+    override suspend fun list(prefix: String): ObjectListing =
+        answerOf { client.get(url("/v1/objects")) { parameter("prefix", prefix) }.listing() }
+            .valueOr { ObjectListing.Unavailable(it.detail) }
+
+    override suspend fun watch(prefix: String, after: ObjectVersion, atMost: Duration): ObjectListing =
+        answerOf {
+            val response = client.get(url("/v1/watch")) {
+                parameter("prefix", prefix)
+                parameter("after", after.value)
+                parameter("timeoutSeconds", atMost.inWholeSeconds)
+                timeout { requestTimeoutMillis = (atMost + WATCH_MARGIN).inWholeMilliseconds }
+            }
+            response.listing()
+        }.valueOr { ObjectListing.Unavailable(it.detail) }
+
+    private fun url(path: String): String = "http://$endpoint$path"
+}
+
+@Serializable
+private data class ListingBody(val version: Long, val objects: List<ObjectBody>)
+
+@Serializable
+private data class ObjectBody(val key: String, val version: Long, val value: String? = null)
+
+private val JSON = Json { ignoreUnknownKeys = true }
+
+private fun HttpRequestBuilder.condition(expected: ExpectedVersion) {
+    when (expected) {
+        ExpectedVersion.Absent -> header(HttpHeaders.IfNoneMatch, "*")
+        is ExpectedVersion.Is -> header(HttpHeaders.IfMatch, "\"${expected.version}\"")
+    }
+}
+
+private fun HttpResponse.version(): ObjectVersion? =
+    headers[HttpHeaders.ETag]?.removeSurrounding("\"")?.toLongOrNull()?.let(::ObjectVersion)
+
+private suspend fun HttpResponse.reading(key: String): ObjectReading {
+    val version = version()
+    return when {
+        status == HttpStatusCode.OK && version != null ->
+            ObjectReading.Found(StoredObject(key, version, bodyAsText()))
+        status == HttpStatusCode.NotFound -> ObjectReading.Absent
+        else -> ObjectReading.Unavailable("status $status")
+    }
+}
+
+private fun HttpResponse.writing(): ObjectWriting =
+    when (status) {
+        HttpStatusCode.OK, HttpStatusCode.NoContent ->
+            version()?.let(ObjectWriting::Written) ?: ObjectWriting.Unknown("answer without a version")
+        HttpStatusCode.PreconditionFailed -> ObjectWriting.Conflict
+        in REFUSALS -> ObjectWriting.Refused("status $status")
+        else -> ObjectWriting.Unknown("status $status")
+    }
+
+private suspend fun HttpResponse.listing(): ObjectListing =
+    when (status) {
+        HttpStatusCode.OK -> JSON.decodeFromString(ListingBody.serializer(), bodyAsText()).toListing()
+        HttpStatusCode.Gone -> ObjectListing.Compacted
+        else -> ObjectListing.Unavailable("status $status")
+    }
+
+private fun ListingBody.toListing(): ObjectListing.Listed =
+    ObjectListing.Listed(
+        ObjectVersion(version),
+        objects.map { StoredObject(it.key, ObjectVersion(it.version), it.value) }.toPersistentList(),
+    )
+
+private fun writingFailure(failure: HttpFailure): ObjectWriting =
+    if (failure.sent) ObjectWriting.Unknown(failure.detail) else ObjectWriting.Refused(failure.detail)
+
+private val REFUSALS =
+    setOf(
+        HttpStatusCode.BadRequest,
+        HttpStatusCode.NotFound,
+        HttpStatusCode.PayloadTooLarge,
+        HttpStatusCode(PRECONDITION_REQUIRED, "Precondition Required"),
+        HttpStatusCode.TooManyRequests,
+        HttpStatusCode.ServiceUnavailable,
+    )
+
+private const val PRECONDITION_REQUIRED = 428
+
+private val WATCH_MARGIN = 2.seconds
--- /dev/null
+++ b/yuccajunction-adapters/src/test/kotlin/org/yuccajunction/adapters/peer/GrpcPeersTest.kt
@@ -0,0 +1,133 @@
+package org.yuccajunction.adapters.peer
+
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.membership.EntryState
+import org.yuccajunction.membership.Heartbeat
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.model.InstanceId
+import org.yuccajunction.model.RequestId
+import org.yuccajunction.model.Revision
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.port.ForwardOutcome
+import org.yuccajunction.port.ForwardedCall
+import org.yuccajunction.port.PeerHandler
+import org.yuccajunction.record.HandOver
+import org.yuccajunction.record.RecordAnswer
+import java.net.ServerSocket
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class GrpcPeersTest {
+    private val traffic = PeerTraffic()
+    private val peers = GrpcPeers(traffic)
+    private val server = GrpcPeerServer(Endpoint("127.0.0.1", freePort()), StubHandler).also { it.start() }
+    private val endpoint = Endpoint("127.0.0.1", server.port)
+
+    @AfterEach
+    fun close() {
+        peers.close()
+        server.close()
+    }
+
+    @Test
+    fun `a heartbeat is answered with the peer's own`() = runBlocking {
+        val answer = peers.beat(endpoint, heartbeat(1))
+        assertEquals(heartbeat(2), answer)
+        assertTrue(traffic.bytesSent > 0 && traffic.bytesReceived > 0)
+    }
+
+    @Test
+    fun `a configuration crosses whole`() = runBlocking {
+        assertEquals(Deployment(revision = Revision(7)), peers.pullDeployment(endpoint))
+    }
+
+    @Test
+    fun `a forwarded call is answered by its home`() = runBlocking {
+        val outcome = assertIs<ForwardOutcome.Answered>(peers.forward(endpoint, call("echo"), 2.seconds))
+        assertContentEquals("echo".encodeToByteArray(), outcome.body)
+    }
+
+    @Test
+    fun `a forwarded call without an answer may have been run`() = runBlocking {
+        assertIs<ForwardOutcome.Unknown>(peers.forward(endpoint, call("silent"), 300.milliseconds))
+        Unit
+    }
+
+    @Test
+    fun `a forwarded call that reached nobody was not run`() = runBlocking {
+        val nobody = Endpoint("127.0.0.1", freePort())
+        assertIs<ForwardOutcome.Refused>(peers.forward(nobody, call("echo"), 2.seconds))
+        assertNull(peers.beat(nobody, heartbeat(1)))
+    }
+
+    @Test
+    fun `a call without an answer is not followed by another on its connection`() = runBlocking {
+        peers.forward(endpoint, call("silent"), 300.milliseconds)
+        val before = traffic.connectionsOpened
+        peers.beat(endpoint, heartbeat(1))
+        assertEquals(before + 1, traffic.connectionsOpened)
+    }
+
+    @Test
+    fun `records are handed over and found`() = runBlocking {
+        assertTrue(peers.handOver(endpoint, HandOver(heartbeat(1).sender.entry)))
+        assertEquals(RecordAnswer.Unknown("entry-1~1~0~a"), peers.findRecord(endpoint, "entry-1~1~0~a"))
+    }
+
+    private fun call(text: String): ForwardedCall =
+        ForwardedCall(
+            RequestId(EntryIncarnation(InstanceId("entry-2"), 1), 0, "a"),
+            WorkspaceId("w"),
+            ServiceName("order-desk"),
+            "POST",
+            "/jobs",
+            emptyList(),
+            text.encodeToByteArray(),
+        )
+
+    private object StubHandler : PeerHandler {
+        override suspend fun beat(heartbeat: Heartbeat): Heartbeat = heartbeat(2)
+
+        override suspend fun deployment(): Deployment = Deployment(revision = Revision(7))
+
+        override suspend fun run(call: ForwardedCall): ForwardOutcome =
+            if (call.body.decodeToString() == "silent") {
+                awaitCancellation()
+            } else {
+                ForwardOutcome.Answered(200, emptyList(), call.body)
+            }
+
+        override suspend fun takeOver(handOver: HandOver): Boolean = true
+
+        override suspend fun findRecord(requestId: String): RecordAnswer = RecordAnswer.Unknown(requestId)
+    }
+
+    private companion object {
+        fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+        fun heartbeat(number: Int): Heartbeat =
+            Heartbeat(
+                EntryState(
+                    EntryIncarnation(InstanceId("entry-$number"), 1),
+                    beat = 3,
+                    AvailabilityZone("cairo-a"),
+                    Endpoint("127.0.0.1", 8000 + number),
+                    Endpoint("127.0.0.1", 9000 + number),
+                    Revision(4),
+                ),
+                Revision(4),
+            )
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/DeploymentLoader.kt
@@ -0,0 +1,67 @@
+package org.yuccajunction.configuration
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.document.DeploymentReader
+import org.yuccajunction.document.SectionName
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+
+/**
+ * Reads the configuration in force from the object API: the head first, then the sections that it names.
+ *
+ * Texts of sections are kept between calls, since a section object never changes. Confined to one coroutine at a time.
+ */
+public class DeploymentLoader(private val store: ObjectStore) {
+    private var texts: PersistentMap<String, String> = persistentMapOf()
+
+    /** Reads head and sections; a section with findings keeps its content from [previous]. */
+    public suspend fun load(previous: Deployment = Deployment()): LoadedDeployment =
+        when (val reading = store.read(ObjectKeys.DEPLOYMENT_HEAD)) {
+            is ObjectReading.Found -> decodeHead(reading.stored.value).fold({ it }, { loadSections(it, previous) })
+            ObjectReading.Absent -> LoadedDeployment.Absent
+            is ObjectReading.Unavailable -> LoadedDeployment.Unavailable(reading.detail)
+        }
+
+    private fun decodeHead(text: String?): Either<LoadedDeployment, DeploymentHead> {
+        if (text == null) return LoadedDeployment.Absent.left()
+        return try {
+            JSON.decodeFromString(DeploymentHead.serializer(), text).right()
+        } catch (exception: SerializationException) {
+            LoadedDeployment.Unavailable("unreadable head: ${exception.message}").left()
+        } catch (exception: IllegalArgumentException) {
+            LoadedDeployment.Unavailable("unreadable head: ${exception.message}").left()
+        }
+    }
+
+    private suspend fun loadSections(head: DeploymentHead, previous: Deployment): LoadedDeployment {
+        val sections = mutableMapOf<SectionName, String>()
+        for ((name, key) in head.sections) {
+            sections[name] =
+                sectionText(key) ?: return LoadedDeployment.Unavailable("section object $key was not read")
+        }
+        texts = texts.retaining(head.sections.values)
+        val reading = DeploymentReader.read(sections, head.revision, previous)
+        return LoadedDeployment.Loaded(reading.deployment, reading.findings)
+    }
+
+    private suspend fun sectionText(key: String): String? {
+        texts[key]?.let { return it }
+        val text = (store.read(key) as? ObjectReading.Found)?.stored?.value ?: return null
+        texts = texts.put(key, text)
+        return text
+    }
+
+    private fun PersistentMap<String, String>.retaining(keys: Collection<String>): PersistentMap<String, String> =
+        (this.keys - keys.toSet()).fold(this) { kept, key -> kept.remove(key) }
+
+    private companion object {
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/LoadedDeployment.kt
@@ -0,0 +1,20 @@
+package org.yuccajunction.configuration
+
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.model.Finding
+
+/** The outcome of reading the configuration from the object API. */
+public sealed interface LoadedDeployment {
+    /**
+     * The head and every section that it names were read.
+     *
+     * @property findings faults of sections that kept their previous content
+     */
+    public data class Loaded(public val deployment: Deployment, public val findings: List<Finding>) : LoadedDeployment
+
+    /** No configuration has been accepted yet. */
+    public data object Absent : LoadedDeployment
+
+    /** The head or a section object could not be read; nothing of it is taken. */
+    public data class Unavailable(public val detail: String) : LoadedDeployment
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/Blackboard.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/Blackboard.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.yuccajunction.configuration.ConfigurationState
 import org.yuccajunction.document.Deployment
 import org.yuccajunction.lease.LeaseState
 import org.yuccajunction.membership.MembershipState
@@ -25,4 +26,5 @@
     public val servers: PersistentMap<BackendServerId, ServerRecord> = persistentMapOf(),
     public val rollout: RolloutState = RolloutState(),
     public val leases: LeaseState = LeaseState(),
+    public val configuration: ConfigurationState = ConfigurationState(),
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
@@ -6,6 +6,7 @@
 import org.yuccajunction.document.Deployment
 import org.yuccajunction.membership.Heartbeat
 import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.EntryIncarnation
 import org.yuccajunction.model.LoadReport
 import org.yuccajunction.model.PlatformInstance
@@ -29,6 +30,18 @@
     /** The platform's instance list was read. */
     public data class InstancesListed(public val instances: PersistentList<PlatformInstance>) : ControlEvent
 
+    /** The platform's instance list could not be read. */
+    public data object InstancesUnavailable : ControlEvent
+
+    /** The answer to [ControlCommand.ReadDeployment] when none could be read. */
+    public data class DeploymentUnavailable(public val detail: String) : ControlEvent
+
+    /** A peer did not answer [ControlCommand.SendHeartbeat]. */
+    public data class HeartbeatUnanswered(public val to: Endpoint) : ControlEvent
+
+    /** A peer did not answer [ControlCommand.PullDeployment]. */
+    public data class PullUnanswered(public val from: Endpoint) : ControlEvent
+
     /** A backend server told its load; a [report] of null says that it did not answer. */
     public data class ServerReported(public val server: BackendServerId, public val report: LoadReport?) : ControlEvent
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
@@ -12,6 +12,7 @@
  * @property peers the other entries, by instance
  * @property instances the platform's instance list as last read
  * @property listedAt when [instances] was read, null before the first time
+ * @property listing when the instance list is to be read next
  */
 public data class MembershipState(
     public val self: EntryState,
@@ -19,4 +20,5 @@
     public val instances: PersistentMap<InstanceId, PlatformInstance> = persistentMapOf(),
     public val listedAt: MonotonicTime? = null,
     public val lastBeatAt: MonotonicTime? = null,
+    public val listing: Polling = Polling(),
 )
