--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
@@ -0,0 +1,76 @@
+package org.yuccajunction.entry
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.yuccajunction.configuration.DeploymentLoader
+import org.yuccajunction.control.ControlCommand
+import org.yuccajunction.control.ControlEvent
+import org.yuccajunction.document.Deployment
+
+/**
+ * Performs the control thread's commands over the ports of outside systems and posts their answers back.
+ *
+ * Each command runs in a coroutine of [scope]; nothing here decides anything.
+ */
+public class CommandPerformer(
+    private val scope: CoroutineScope,
+    private val ports: ControlPorts,
+    private val deployment: () -> Deployment,
+    private val post: (ControlEvent) -> Unit,
+) {
+    private val loader = DeploymentLoader(ports.objects)
+
+    /** Starts performing [command] and returns at once. */
+    public fun perform(command: ControlCommand) {
+        if (command is ControlCommand.Log) {
+            EventLog.write(command.event, command.detail)
+        } else {
+            scope.launch { answer(command)?.let(post) }
+        }
+    }
+
+    private suspend fun answer(command: ControlCommand): ControlEvent? =
+        when (command) {
+            is ControlCommand.SendHeartbeat ->
+                ports.peers.beat(command.to, command.heartbeat)?.let(ControlEvent::HeartbeatReceived)
+            is ControlCommand.PullDeployment ->
+                ports.peers.pullDeployment(command.from)?.let(ControlEvent::DeploymentRead)
+            is ControlCommand.PollServer -> poll(command)
+            is ControlCommand.OrderServer -> order(command)
+            is ControlCommand.StartInstance ->
+                ControlEvent.InstanceStarted(command.order, ports.cloud.start(command.order))
+            is ControlCommand.StopInstance -> null.also { ports.cloud.stop(command.instance) }
+            is ControlCommand.ListInstances -> ports.instances.read()?.let(ControlEvent::InstancesListed)
+            is ControlCommand.ReadNotices -> ports.cloud.notices()?.let(ControlEvent::NoticesRead)
+            is ControlCommand.Log -> null
+            else -> answerFromStore(command)
+        }
+
+    private suspend fun answerFromStore(command: ControlCommand): ControlEvent? =
+        when (command) {
+            is ControlCommand.ReadDeployment -> loader.load(deployment())?.let(ControlEvent::DeploymentRead)
+            is ControlCommand.ReadObject -> ControlEvent.ObjectRead(command.key, ports.objects.read(command.key))
+            is ControlCommand.WriteObject ->
+                ControlEvent.ObjectWritten(
+                    command.key,
+                    ports.objects.write(command.key, command.value, command.expected),
+                )
+            is ControlCommand.ListObjects ->
+                ControlEvent.ObjectsListed(command.prefix, ports.objects.list(command.prefix))
+            is ControlCommand.WatchObjects ->
+                ControlEvent.ObjectsListed(
+                    command.prefix,
+                    ports.objects.watch(command.prefix, command.after, command.atMost),
+                )
+            else -> null
+        }
+
+    private suspend fun poll(command: ControlCommand.PollServer): ControlEvent =
+        ControlEvent.ServerReported(command.server, ports.engine.report(command.endpoint))
+
+    private suspend fun order(command: ControlCommand.OrderServer): ControlEvent =
+        ControlEvent.ServerOrdered(
+            command.server,
+            ports.engine.order(command.endpoint, command.order, command.fencingNumber),
+        )
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/ControlPorts.kt
@@ -0,0 +1,16 @@
+package org.yuccajunction.entry
+
+import org.yuccajunction.port.CloudApi
+import org.yuccajunction.port.InstanceList
+import org.yuccajunction.port.ModelEngine
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.Peers
+
+/** The outside systems that control commands reach. */
+public class ControlPorts(
+    public val objects: ObjectStore,
+    public val instances: InstanceList,
+    public val cloud: CloudApi,
+    public val engine: ModelEngine,
+    public val peers: Peers,
+)
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/ControlThread.kt
@@ -0,0 +1,116 @@
+package org.yuccajunction.entry
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExecutorCoroutineDispatcher
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.trySendBlocking
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.yuccajunction.control.Blackboard
+import org.yuccajunction.control.ControlCommand
+import org.yuccajunction.control.ControlEvent
+import org.yuccajunction.control.ControlState
+import org.yuccajunction.control.routingTable
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.routing.AttemptObservation
+import org.yuccajunction.routing.RoutingTable
+import java.lang.management.ManagementFactory
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.Executors
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+
+/**
+ * The one thread that owns the control state.
+ *
+ * Events come from any thread and are handled in order. After each, the commands are handed to [perform], and the
+ * newest blackboard and routing table are published for traffic threads to read.
+ */
+public class ControlThread(
+    private val state: ControlState,
+    private val clock: () -> MonotonicTime,
+    private val perform: (ControlCommand) -> Unit,
+) : AutoCloseable {
+    private val dispatcher: ExecutorCoroutineDispatcher =
+        Executors.newSingleThreadExecutor { task -> Thread(task, THREAD_NAME).also { thread = it } }
+            .asCoroutineDispatcher()
+    private val events = Channel<ControlEvent>(EVENT_CAPACITY)
+    private val observations = ArrayBlockingQueue<AttemptObservation>(OBSERVATION_CAPACITY)
+    private var tableMadeAt = MonotonicTime.ZERO
+
+    @Volatile
+    private var thread: Thread? = null
+
+    /** The blackboard after the last handled event. */
+    @Volatile
+    public var board: Blackboard = state.board
+        private set
+
+    /** The newest routing table. */
+    @Volatile
+    public var table: RoutingTable = routingTable(state.board)
+        private set
+
+    /** Processor time that control has taken so far. */
+    public val processorTime: Duration
+        get() = (thread?.let { ManagementFactory.getThreadMXBean().getThreadCpuTime(it.id) } ?: 0).nanoseconds
+
+    /** Starts handling events and ticking. */
+    public fun start(scope: CoroutineScope) {
+        scope.launch(dispatcher) {
+            for (event in events) handle(event)
+        }
+        scope.launch(dispatcher) {
+            while (isActive) {
+                tick()
+                delay(TICK)
+            }
+        }
+    }
+
+    /** Hands [event] to the control thread; waits while its queue is full. */
+    public fun post(event: ControlEvent) {
+        events.trySendBlocking(event)
+    }
+
+    /** Hands an observation to the control thread with the next tick; drops it where too many are waiting. */
+    public fun observe(observation: AttemptObservation) {
+        observations.offer(observation)
+    }
+
+    private fun tick() {
+        val ended = generateSequence { observations.poll() }.take(OBSERVATION_CAPACITY).toList()
+        if (ended.isNotEmpty()) handle(ControlEvent.AttemptsEnded(ended.toPersistentList()))
+        handle(ControlEvent.Ticked)
+        publishTable()
+    }
+
+    private fun handle(event: ControlEvent) {
+        val commands = state.handle(event, clock())
+        board = state.board
+        if (clock() - tableMadeAt >= TABLE_INTERVAL) publishTable()
+        commands.forEach(perform)
+    }
+
+    private fun publishTable() {
+        table = routingTable(board)
+        tableMadeAt = clock()
+    }
+
+    override fun close() {
+        events.close()
+        dispatcher.close()
+    }
+
+    private companion object {
+        const val THREAD_NAME = "control"
+        const val EVENT_CAPACITY = 4_096
+        const val OBSERVATION_CAPACITY = 16_384
+        val TICK = 100.milliseconds
+        val TABLE_INTERVAL = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/OperatorServer.kt
@@ -0,0 +1,65 @@
+package org.yuccajunction.entry
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import org.yuccajunction.control.Blackboard
+import org.yuccajunction.model.Endpoint
+
+/**
+ * Answers operators and their monitoring on a port of its own: health, readiness, metrics and the entry's state.
+ *
+ * @property ready whether the entry takes new work
+ * @property extend adds further routes
+ */
+public class OperatorServer(
+    private val endpoint: Endpoint,
+    private val board: () -> Blackboard,
+    private val ready: () -> Boolean,
+    private val meters: PrometheusMeterRegistry,
+    private val extend: Route.() -> Unit,
+) {
+    private val server = embeddedServer(Netty, endpoint.port, endpoint.host) { operatorModule() }
+
+    /** Starts to listen and returns the address in use. */
+    public fun start(): Endpoint {
+        server.start(wait = false)
+        val port = runBlocking { server.engine.resolvedConnectors().first().port }
+        return Endpoint(endpoint.host, port)
+    }
+
+    /** Stops listening. */
+    public fun stop() {
+        server.stop(GRACE_MILLIS, TIMEOUT_MILLIS)
+    }
+
+    private fun Application.operatorModule() {
+        routing {
+            get("/health") { call.respondText("ok\n") }
+            get("/ready") {
+                val status = if (ready()) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+                call.respondText(if (ready()) "ready\n" else "not ready\n", status = status)
+            }
+            get("/metrics") { call.respondText(meters.scrape(), ContentType.Text.Plain) }
+            get("/state") {
+                val state = EntryStateReport.of(board())
+                call.respondText(Json.encodeToString(state), ContentType.Application.Json)
+            }
+            extend()
+        }
+    }
+
+    private companion object {
+        const val GRACE_MILLIS = 100L
+        const val TIMEOUT_MILLIS = 1_000L
+    }
+}
