--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -0,0 +1,117 @@
+package org.yuccajunction.control
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.yuccajunction.document.ApplicationSection
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.document.ModelSection
+import org.yuccajunction.document.WorkspaceRule
+import org.yuccajunction.membership.EntryState
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.ServiceKind
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.routing.EntryAddress
+import org.yuccajunction.routing.RoutingTable
+import org.yuccajunction.routing.ServerRecord
+import org.yuccajunction.routing.ServerRoute
+import org.yuccajunction.routing.ServerState
+import org.yuccajunction.routing.ServiceRoute
+
+/** Derives from the control state what traffic threads need. */
+public fun routingTable(board: Blackboard): RoutingTable {
+    val deployment = board.deployment
+    val takenOut = deployment.takenOutZones()
+    return RoutingTable(
+        revision = deployment.revision,
+        availabilityZone = board.membership.self.availabilityZone,
+        services = services(board, takenOut),
+        workspaces = workspacesByKeyHash(deployment),
+        entries = entries(board, takenOut),
+        leaving = board.membership.self.leaving,
+        retryShare = deployment.trafficRules.retryShare,
+        addressAnswerSeconds = deployment.trafficRules.addressAnswerSeconds,
+    )
+}
+
+private fun Deployment.takenOutZones(): Set<AvailabilityZone> =
+    availabilityZones.filter { it.takenOut }.map { it.name }.toSet()
+
+private fun services(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentMap<ServiceName, ServiceRoute> {
+    val servers = board.servers.entries.groupBy({ it.value.instance.service }, { it.key to it.value })
+    val routes = ServerRoutes(board, takenOut)
+    val models = board.deployment.models.map { modelRoute(it, routes.of(servers[it.name].orEmpty())) }
+    val applications =
+        board.deployment.applications.map { applicationRoute(it, routes.of(servers[it.name].orEmpty())) }
+    return (models + applications).associateBy { it.name }.toPersistentMap()
+}
+
+private fun modelRoute(section: ModelSection, servers: PersistentList<ServerRoute>) =
+    ServiceRoute(
+        name = section.name,
+        kind = ServiceKind.MODEL,
+        latencyTargetMillis = section.firstTokenTargetMillis,
+        betweenTokensTargetMillis = section.betweenTokensTargetMillis,
+        shares = persistentMapOf(section.version to 1.0),
+        servers = servers,
+    )
+
+private fun applicationRoute(section: ApplicationSection, servers: PersistentList<ServerRoute>) =
+    ServiceRoute(
+        name = section.name,
+        kind = ServiceKind.APPLICATION,
+        latencyTargetMillis = section.latencyTargetMillis,
+        shares = persistentMapOf(section.version to 1.0),
+        servers = servers,
+        calls = section.calls.toPersistentList(),
+        statusPath = section.statusPath,
+    )
+
+private class ServerRoutes(private val board: Blackboard, private val takenOut: Set<AvailabilityZone>) {
+    private val zones = board.deployment.availabilityZones.associateBy { it.name }
+
+    fun of(records: List<Pair<BackendServerId, ServerRecord>>): PersistentList<ServerRoute> =
+        records.mapNotNull { (id, record) -> route(id, record) }.toPersistentList()
+
+    private fun route(id: BackendServerId, record: ServerRecord): ServerRoute? {
+        val version = record.instance.version ?: return null
+        val state = if (record.instance.availabilityZone in takenOut) ServerState.LEAVING else record.state
+        return ServerRoute(
+            id = id,
+            endpoint = record.endpoint,
+            availabilityZone = record.instance.availabilityZone,
+            version = version,
+            state = state,
+            permits = record.permits(state),
+            limit = record.limits.warm,
+            report = record.report,
+            reportAgeMillis = record.reportedAt?.let { (board.now - it).inWholeMilliseconds } ?: 0,
+            pricePerHour = price(record),
+        )
+    }
+
+    private fun price(record: ServerRecord): Double {
+        val zone = zones[record.instance.availabilityZone] ?: return 1.0
+        return if (record.instance.reclaimable) zone.reclaimablePricePerHour else zone.onDemandPricePerHour
+    }
+}
+
+private fun workspacesByKeyHash(deployment: Deployment): PersistentMap<String, WorkspaceRule> =
+    deployment.trafficRules.workspaces
+        .flatMap { workspace -> workspace.keyHashes.map { it to workspace } }
+        .toMap()
+        .toPersistentMap()
+
+private fun entries(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentList<EntryAddress> {
+    val peers = board.membership.peers.values.filterNot { it.suspected }.map { it.state }
+    return (listOf(board.membership.self) + peers)
+        .filterNot { it.leaving || it.availabilityZone in takenOut }
+        .map { it.address() }
+        .toPersistentList()
+}
+
+private fun EntryState.address() =
+    EntryAddress(entry, availabilityZone, callerEndpoint, peerEndpoint, load, identityEpoch)
