--- /dev/null
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/application/ApplicationLedger.kt
@@ -0,0 +1,29 @@
+package org.yuccajunction.testing.application
+
+import kotlinx.serialization.Serializable
+import org.yuccajunction.testing.LoadCounts
+
+/** One call that the application ran. */
+@Serializable
+public data class ApplicationLedgerRow(
+    public val requestId: String,
+    public val attemptId: String,
+    public val method: String,
+    public val target: String,
+    public val ranAtMillis: Long,
+)
+
+/**
+ * Everything that the application stand-in ran.
+ *
+ * @property received number of calls that arrived, run or not
+ */
+@Serializable
+public data class ApplicationLedger(
+    public val rows: List<ApplicationLedgerRow>,
+    public val received: Int,
+    public val load: LoadCounts,
+) {
+    /** Returns how often the request [requestId] was run. */
+    public fun runs(requestId: String): Int = rows.count { it.requestId == requestId }
+}
--- /dev/null
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/application/ApplicationMain.kt
@@ -0,0 +1,19 @@
+package org.yuccajunction.testing.application
+
+import io.ktor.server.routing.routing
+import org.yuccajunction.testing.StandInArguments
+import org.yuccajunction.testing.StandInProcess
+import org.yuccajunction.testing.standInJson
+
+/** A plain application that keeps a ledger of what it ran. */
+public object ApplicationMain {
+    @JvmStatic
+    public fun main(arguments: Array<String>) {
+        val read = StandInArguments.parse("application", arguments)
+        val settings = standInJson.decodeFromString(ApplicationSettings.serializer(), read.settings)
+        val state = ApplicationState(settings)
+        StandInProcess.serve(read) {
+            routing { applicationRoutes(state) }
+        }
+    }
+}
--- /dev/null
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/engine/EngineState.kt
@@ -0,0 +1,68 @@
+package org.yuccajunction.testing.engine
+
+import kotlinx.serialization.Serializable
+import org.yuccajunction.port.ServerOrder
+import org.yuccajunction.testing.ServerLoad
+import java.util.Collections
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** One order as it came, and whether it was taken. */
+@Serializable
+public data class OrderRow(
+    public val order: ServerOrder,
+    public val fencingNumber: Long,
+    public val taken: Boolean,
+    public val receivedAtMillis: Long,
+)
+
+/** The orders that a server was given, in order. */
+@Serializable
+public data class OrderLedger(public val orders: List<OrderRow>)
+
+/** Everything that the model engine stand-in keeps. */
+internal class EngineState(val settings: ModelEngineSettings) {
+    val load = ServerLoad(settings.coldMillis, settings.coldRequestLimit, settings.reportLagMillis)
+    val cache = PrefixCache(settings.cacheBlocks, settings.cacheEventGap)
+    val book = LedgerBook()
+
+    /** Requests that run now, by attempt, for the export of their KV cache. */
+    val running: MutableMap<String, LedgerEntry> = ConcurrentHashMap()
+
+    /** Handles that were imported here. */
+    val imported: MutableSet<String> = Collections.newSetFromMap(ConcurrentHashMap())
+
+    private val requests = AtomicInteger()
+    private val orders = ArrayList<OrderRow>()
+
+    @Volatile
+    var faults = ModelEngineFaults()
+
+    /** Returns the faults that apply to the request now arriving with [priority]. */
+    @Synchronized
+    fun faultsOfNext(priority: Int): ModelEngineFaults {
+        val current = faults
+        if (current.badPriority != null && current.badPriority != priority) return ModelEngineFaults()
+        val remaining = current.remaining ?: return current
+        if (remaining == 0) return ModelEngineFaults()
+        faults = current.copy(remaining = remaining - 1)
+        return current
+    }
+
+    /** Returns whether the request now arriving is among the share [failShare], spread evenly. */
+    fun failsNext(failShare: Double): Boolean {
+        val number = requests.getAndIncrement()
+        return ((number + 1) * failShare).toLong() > (number * failShare).toLong()
+    }
+
+    @Synchronized
+    fun take(order: ServerOrder, fencingNumber: Long): Boolean {
+        val newest = orders.filter { it.taken }.maxOfOrNull { it.fencingNumber } ?: 0
+        val taken = !settings.checksFencing || fencingNumber >= newest
+        orders += OrderRow(order, fencingNumber, taken, System.currentTimeMillis())
+        return taken
+    }
+
+    @Synchronized
+    fun orders(): OrderLedger = OrderLedger(orders.toList())
+}
--- /dev/null
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/engine/ModelEngineMain.kt
@@ -0,0 +1,23 @@
+package org.yuccajunction.testing.engine
+
+import io.ktor.server.routing.routing
+import org.yuccajunction.testing.StandInArguments
+import org.yuccajunction.testing.StandInProcess
+import org.yuccajunction.testing.standInJson
+
+/** A model engine with answers that any test can compute. */
+public object ModelEngineMain {
+    @JvmStatic
+    public fun main(arguments: Array<String>) {
+        val read = StandInArguments.parse("model-engine", arguments)
+        val settings = standInJson.decodeFromString(ModelEngineSettings.serializer(), read.settings)
+        val state = EngineState(settings)
+        StandInProcess.serve(read) {
+            routing {
+                generationRoutes(state)
+                engineRoutes(state)
+                engineAdminRoutes(state)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/engine/PrefixCache.kt
@@ -0,0 +1,60 @@
+package org.yuccajunction.testing.engine
+
+import kotlinx.serialization.Serializable
+import org.yuccajunction.testing.ExpectedAnswer
+
+/** One change of the prefix cache. */
+@Serializable
+internal data class CacheEvent(val sequence: Long, val kind: String, val prefixKey: String)
+
+/** Changes of the prefix cache since a place in its history. */
+@Serializable
+internal data class CacheEvents(val next: Long, val events: List<CacheEvent>)
+
+/** A prefix cache with blocks of a fixed number of words, which forgets the block least recently used. */
+internal class PrefixCache(private val capacity: Int, private val gap: Int) {
+    private val blocks = LinkedHashMap<String, Unit>(INITIAL_CAPACITY, LOAD_FACTOR, true)
+    private val events = ArrayDeque<CacheEvent>()
+    private var sequence = 0L
+
+    /** Returns how many words of [words] were in the cache as a prefix, and keeps all of them. */
+    @Synchronized
+    fun use(words: List<String>): Int {
+        val keys = prefixKeys(words)
+        val cached = keys.takeWhile { it in blocks }.size
+        keys.forEach { key -> if (blocks.put(key, Unit) == null) record("stored", key) }
+        while (blocks.size > capacity) {
+            val eldest = blocks.keys.first()
+            blocks.remove(eldest)
+            record("evicted", eldest)
+        }
+        return cached * BLOCK_WORDS
+    }
+
+    @Synchronized
+    fun clear() = blocks.clear()
+
+    @Synchronized
+    fun eventsAfter(after: Long): CacheEvents =
+        CacheEvents(sequence, events.filter { it.sequence > after && (gap == 0 || it.sequence % gap != 0L) })
+
+    private fun record(kind: String, key: String) {
+        sequence += 1
+        events.addLast(CacheEvent(sequence, kind, key))
+        if (events.size > MAXIMUM_EVENTS) events.removeFirst()
+    }
+
+    private fun prefixKeys(words: List<String>): List<String> =
+        words.chunked(BLOCK_WORDS)
+            .filter { it.size == BLOCK_WORDS }
+            .runningFold("") { before, block -> ExpectedAnswer.seed(before + block).toString(HEXADECIMAL) }
+            .drop(1)
+
+    private companion object {
+        const val BLOCK_WORDS = 16
+        const val HEXADECIMAL = 16
+        const val INITIAL_CAPACITY = 64
+        const val LOAD_FACTOR = 0.75f
+        const val MAXIMUM_EVENTS = 10_000
+    }
+}
--- /dev/null
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/platform/InstanceRoutes.kt
@@ -0,0 +1,79 @@
+package org.yuccajunction.testing.platform
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.response.respond
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.RoutingCall
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.put
+import org.yuccajunction.capacity.InstanceOrder
+import org.yuccajunction.model.InstanceId
+import org.yuccajunction.model.PlatformInstance
+import org.yuccajunction.testing.closeConnection
+import org.yuccajunction.testing.receiveJson
+import org.yuccajunction.testing.respondJson
+
+/** The instance list and the cloud API. */
+internal fun Route.instanceRoutes(state: PlatformState) {
+    get("/v1/instances") {
+        state.count("instances")
+        if (state.faults.instancesUnavailable) {
+            call.respond(HttpStatusCode.ServiceUnavailable)
+        } else {
+            call.respondJson(InstanceRows.serializer(), state.instances.read(state.faults.instanceListLagMillis))
+        }
+    }
+    put("/v1/instances/{id}") {
+        val instance = call.receiveJson(PlatformInstance.serializer())
+        state.instances.update { it + (instance.id to instance) }
+        call.respond(HttpStatusCode.OK)
+    }
+    delete("/v1/instances/{id}") {
+        state.instances.update { it - call.instance("id") }
+        call.respond(HttpStatusCode.NoContent)
+    }
+    cloudRoutes(state)
+}
+
+private fun Route.cloudRoutes(state: PlatformState) {
+    put("/v1/cloud/instances/{name}") {
+        val order = call.receiveJson(InstanceOrder.serializer())
+        if (call.admitCloud(state, "start")) call.answerStart(state, order)
+    }
+    delete("/v1/cloud/instances/{name}") {
+        if (call.admitCloud(state, "stop")) {
+            state.cloud.stop(call.instance("name"))
+            call.respond(HttpStatusCode.NoContent)
+        }
+    }
+    get("/v1/cloud/instances") {
+        if (call.admitCloud(state, "orders")) call.respondJson(OrderRows.serializer(), state.cloud.orders())
+    }
+    get("/v1/cloud/notices") {
+        if (call.admitCloud(state, "notices")) call.respondJson(NoticeRows.serializer(), state.cloud.notices())
+    }
+}
+
+private suspend fun RoutingCall.answerStart(state: PlatformState, order: InstanceOrder) {
+    if (state.faults.refuseStarts) {
+        respond(HttpStatusCode.ServiceUnavailable)
+        return
+    }
+    val new = state.cloud.start(order)
+    if (state.takeLostStart()) {
+        closeConnection()
+        return
+    }
+    respond(if (new) HttpStatusCode.Created else HttpStatusCode.OK)
+}
+
+private suspend fun RoutingCall.admitCloud(state: PlatformState, kind: String): Boolean {
+    state.count(kind)
+    val refused = state.faults.cloudUnavailable
+    if (refused) respond(HttpStatusCode.ServiceUnavailable)
+    return !refused
+}
+
+/** Returns the instance that the path parameter [parameter] names. */
+internal fun RoutingCall.instance(parameter: String): InstanceId = InstanceId(parameters[parameter].orEmpty())
--- /dev/null
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/platform/PlatformAdminRoutes.kt
@@ -0,0 +1,46 @@
+package org.yuccajunction.testing.platform
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.response.respond
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import org.yuccajunction.capacity.ReclaimNotice
+import org.yuccajunction.testing.receiveJson
+import org.yuccajunction.testing.respondJson
+
+/** What tests tell the platform to do. */
+internal fun Route.platformAdminRoutes(state: PlatformState) {
+    post("/admin/faults") {
+        state.faults = call.receiveJson(PlatformFaults.serializer())
+        call.respond(HttpStatusCode.OK)
+    }
+    get("/admin/calls") { call.respondJson(CallCounts.serializer(), state.counts()) }
+    post("/admin/snapshot") {
+        state.snapshot = state.objects.list("")
+        call.respond(HttpStatusCode.OK)
+    }
+    post("/admin/restore") {
+        state.objects.restore(state.snapshot)
+        call.respond(HttpStatusCode.OK)
+    }
+    post("/admin/compact") {
+        state.objects.compact()
+        call.respond(HttpStatusCode.OK)
+    }
+    post("/admin/leaving/{id}") {
+        val id = call.instance("id")
+        state.instances.update { rows -> rows[id]?.let { rows + (id to it.copy(leaving = true)) } ?: rows }
+        call.respond(HttpStatusCode.OK)
+    }
+    put("/admin/notices") {
+        state.cloud.announce(call.receiveJson(ReclaimNotice.serializer()))
+        call.respond(HttpStatusCode.OK)
+    }
+    delete("/admin/notices/{id}") {
+        state.cloud.withdraw(call.instance("id"))
+        call.respond(HttpStatusCode.OK)
+    }
+}
