--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/InstanceController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/InstanceController.kt
@@ -1,24 +1,17 @@
 package org.yuccajunction.control
 
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentMap
-import org.yuccajunction.model.BackendServerId
-import org.yuccajunction.model.InstanceRole
 import org.yuccajunction.model.PlatformInstance
-import org.yuccajunction.routing.ServerRecord
-import org.yuccajunction.routing.ServerState
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Keeps the platform's instance list and the rows of backend servers that follow from it.
+ * Reads the platform's instance list and its notices of reclaims.
  *
- * A backend server that is new in the list starts as [ServerState.COLD]; one that the list marks as leaving becomes
- * [ServerState.LEAVING]; every other change of state is made elsewhere. When the list can't be read, its last rows
- * stay.
+ * When the list can't be read, its last rows stay.
  *
  * @param interval time between two readings of the list while the platform answers
  */
@@ -50,31 +43,9 @@
                 listedAt = board.now,
                 listing = membership.listing.succeeded(),
             ),
-            servers = serversFrom(board, instances),
         )
     }
 
     private fun onUnavailable(board: Blackboard): Blackboard =
         board.copy(membership = board.membership.copy(listing = board.membership.listing.failed()))
-
-    private fun serversFrom(
-        board: Blackboard,
-        instances: PersistentList<PlatformInstance>,
-    ): PersistentMap<BackendServerId, ServerRecord> =
-        instances
-            .filter { it.role == InstanceRole.BACKEND_SERVER && it.service != null && it.version != null }
-            .associate { BackendServerId(it.id.value) to record(board, it) }
-            .toPersistentMap()
-
-    private fun record(board: Blackboard, instance: PlatformInstance): ServerRecord {
-        val known = board.servers[BackendServerId(instance.id.value)]
-        val initial = if (instance.leaving) ServerState.LEAVING else ServerState.COLD
-        if (known == null || known.isReplacedBy(instance)) return ServerRecord(instance, initial, board.now)
-        val updated = known.copy(instance = instance)
-        val starts = instance.leaving && known.state != ServerState.LEAVING
-        return if (starts) updated.copy(state = ServerState.LEAVING, stateSince = board.now) else updated
-    }
-
-    private fun ServerRecord.isReplacedBy(listed: PlatformInstance): Boolean =
-        instance.endpoint != listed.endpoint || instance.service != listed.service || instance.version != listed.version
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
@@ -2,83 +2,99 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import org.yuccajunction.membership.EntryState
 import org.yuccajunction.membership.Heartbeat
+import org.yuccajunction.membership.Membership
+import org.yuccajunction.membership.MembershipSettings
 import org.yuccajunction.membership.MembershipState
 import org.yuccajunction.membership.PeerRecord
-import org.yuccajunction.model.Endpoint
-import org.yuccajunction.model.InstanceRole
+import org.yuccajunction.rollout.VersionVeto
 import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
- * Exchanges heartbeats with other entries and keeps what is known of them.
+ * Exchanges heartbeats with other entries, keeps what is known of them and spreads vetoes.
  *
- * @param interval time between two rounds of heartbeats
+ * @param settings how entries keep in touch
  */
-public class MembershipController(private val interval: Duration = 1.seconds) : Controller {
+public class MembershipController(settings: MembershipSettings = MembershipSettings()) : Controller {
+    private val membership = Membership(settings)
+
     override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep =
         when (event) {
             ControlEvent.Ticked -> onTick(board, random)
-            is ControlEvent.HeartbeatReceived -> ControlStep(onHeartbeat(board, event.heartbeat))
+            is ControlEvent.HeartbeatReceived -> onHeartbeat(board, event.heartbeat)
+            is ControlEvent.LoadMeasured -> ControlStep(onLoad(board, event))
+            is ControlEvent.ShutdownAnnounced -> ControlStep(board.announcing { it.copy(leaving = true) })
+            is ControlEvent.HandOverAnswered -> ControlStep(onHandOver(board, event))
             else -> ControlStep(board)
         }
 
-    /** Returns the heartbeat that this entry sends, and answers to others', in the state of [board]. */
-    public fun heartbeat(board: Blackboard): Heartbeat =
-        Heartbeat(
-            sender = board.membership.self,
-            revision = board.deployment.revision,
-            vetoes = board.rollout.vetoes.take(MAX_VETOES),
-            rumours = board.membership.peers.values.map { it.state }.take(MAX_RUMOURS),
-        )
+    /** Returns the answer to a peer's heartbeat, in the state of [board]. */
+    public fun answer(board: Blackboard, received: Heartbeat, random: Random): Heartbeat =
+        membership.answer(board.membership, board.deployment.revision, board.rollout.vetoes, received, random)
 
     private fun onTick(board: Blackboard, random: Random): ControlStep {
-        val lastBeatAt = board.membership.lastBeatAt
-        if (lastBeatAt != null && board.now - lastBeatAt < interval) return ControlStep(board)
-        val aged = board.copy(membership = board.membership.aged(board).copy(lastBeatAt = board.now))
-        val heartbeat = heartbeat(aged)
-        val commands =
-            targets(aged.membership, random).map { ControlCommand.SendHeartbeat(it, heartbeat) }.toPersistentList()
-        return ControlStep(aged, commands)
+        if (!membership.isRoundDue(board.membership, board.now)) return ControlStep(board)
+        val state = membership.beginRound(board.membership, board.deployment.revision, board.now, random)
+        val heartbeats =
+            membership
+                .heartbeats(state, board.deployment.revision, board.rollout.vetoes, random)
+                .map { ControlCommand.SendHeartbeat(it.to, it.heartbeat) }
+        return ControlStep(
+            board.copy(membership = state),
+            (heartbeats + changes(board.membership, state)).toPersistentList(),
+        )
     }
 
-    private fun MembershipState.aged(board: Blackboard): MembershipState {
-        val self = self.copy(beat = self.beat + 1, revision = board.deployment.revision)
-        val suspected = peers.mapValues { (_, peer) -> peer.copy(suspected = board.now - peer.heardAt > SUSPICION) }
-        return copy(self = self, peers = peers.putAll(suspected))
+    private fun onHeartbeat(board: Blackboard, heartbeat: Heartbeat): ControlStep {
+        val state = membership.learned(board.membership, heartbeat, board.now)
+        val vetoes = board.rollout.vetoes.addAll(acceptable(board, heartbeat.vetoes))
+        return ControlStep(
+            board.copy(membership = state, rollout = board.rollout.copy(vetoes = vetoes)),
+            changes(board.membership, state),
+        )
     }
 
-    private fun targets(membership: MembershipState, random: Random): PersistentList<Endpoint> {
-        val seeds =
-            membership.instances.values
-                .filter { it.role == InstanceRole.ENTRY && it.id != membership.self.entry.instance }
-                .mapNotNull { it.peerEndpoint }
-        val known = membership.peers.values.map { it.state.peerEndpoint }
-        return (seeds + known).distinct().shuffled(random).take(TARGETS).toPersistentList()
+    /** Returns the vetoes against moves of the configuration in force, as many as there is room for. */
+    private fun acceptable(board: Blackboard, told: List<VersionVeto>): Set<VersionVeto> {
+        val moves = board.deployment.versions.map { it.name }.toSet()
+        val held = board.rollout.vetoes.map { it.copy(reason = "") }.toSet()
+        val room = (MAX_VETOES - held.size).coerceAtLeast(0)
+        return told.filter { it.move in moves && it.copy(reason = "") !in held }.take(room).toPersistentSet()
     }
 
-    private fun onHeartbeat(board: Blackboard, heartbeat: Heartbeat): Blackboard {
-        val membership = (heartbeat.rumours + heartbeat.sender).fold(board.membership) { state, told ->
-            state.learning(told, board)
-        }
-        val vetoes = board.rollout.vetoes.addAll(heartbeat.vetoes)
-        return board.copy(membership = membership, rollout = board.rollout.copy(vetoes = vetoes))
+    private fun onLoad(board: Blackboard, event: ControlEvent.LoadMeasured): Blackboard {
+        val load = event.openRequests.toDouble() / event.limit.coerceAtLeast(1)
+        return board.copy(membership = board.membership.copy(load = load.coerceIn(0.0, 1.0)))
     }
 
-    private fun MembershipState.learning(told: EntryState, board: Blackboard): MembershipState {
-        val instance = told.entry.instance
-        val known = peers[instance]?.state
-        val newer = known == null || compareValuesBy(told, known, { it.entry.incarnation }, { it.beat }) > 0
-        if (instance == self.entry.instance || !newer) return this
-        return copy(peers = peers.put(instance, PeerRecord(told, board.now)))
+    private fun onHandOver(board: Blackboard, event: ControlEvent.HandOverAnswered): Blackboard =
+        if (event.accepted) board.announcing { it.copy(successor = event.successor) } else board
+
+    private fun changes(before: MembershipState, after: MembershipState): PersistentList<ControlCommand> {
+        if (before.peers === after.peers) return noCommands
+        return after.peers
+            .mapNotNull { (instance, peer) -> change(before.peers[instance], peer) }
+            .toPersistentList()
+    }
+
+    private fun change(before: PeerRecord?, after: PeerRecord): ControlCommand? {
+        val event =
+            when {
+                before == null -> LogEvent.PEER_JOINED
+                after.suspected && !before.suspected -> LogEvent.PEER_SUSPECTED
+                before.suspected && !after.suspected -> LogEvent.PEER_RETURNED
+                else -> return null
+            }
+        return ControlCommand.Log(event, after.state.entry.toString())
     }
 
     private companion object {
-        const val TARGETS = 4
-        const val MAX_RUMOURS = 16
-        const val MAX_VETOES = 16
-        val SUSPICION = 5.seconds
+        const val MAX_VETOES = 64
+        val noCommands = emptyList<ControlCommand>().toPersistentList()
     }
 }
+
+private fun Blackboard.announcing(change: (EntryState) -> EntryState): Blackboard =
+    copy(membership = membership.announcing(now, change))
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Heartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Heartbeat.kt
@@ -9,13 +9,20 @@
  *
  * @property sender state of the sending entry
  * @property revision the newest configuration that the sender has
- * @property vetoes versions that the sender has seen fail and keeps from its traffic
- * @property rumours states of other entries that the sender heard of lately
+ * @property vetoes versions that the sender has seen fail and keeps from its traffic, left out where the receiver is
+ * known to have them
+ * @property rumours states of other entries that the receiver may not know yet
+ * @property digest hashes of all that the sender knows of entries
+ * @property vetoDigest hash of all vetoes that the sender holds
+ * @property known number of entries that the sender knows
  */
 @Serializable
 public data class Heartbeat(
     public val sender: EntryState,
     public val revision: Revision,
     public val vetoes: List<VersionVeto> = emptyList(),
-    public val rumours: List<EntryState> = emptyList(),
+    public val rumours: List<Rumour> = emptyList(),
+    public val digest: MembershipDigest = MembershipDigest(),
+    public val vetoDigest: Int = 0,
+    public val known: Int = 0,
 )
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
@@ -0,0 +1,127 @@
+package org.yuccajunction.membership
+
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.Revision
+import org.yuccajunction.rollout.VersionVeto
+import kotlin.random.Random
+
+/** Makes heartbeats and learns from them. */
+internal object HeartbeatExchange {
+    private const val MAX_RUMOURS = 6
+    private const val MAX_RUMOURS_TO_NEWCOMER = 32
+    private const val MAX_VETOES = 4
+    private const val MAX_REASON_LENGTH = 80
+
+    /** Returns the heartbeat that goes to the peer at [to], with the news that it did not have when it last told. */
+    fun request(state: MembershipState, content: HeartbeatContent, to: Endpoint, random: Random): Heartbeat {
+        val peer = state.peers.values.find { it.state.peerEndpoint == to }
+        val digest = MembershipDigest.of(state.rumours)
+        val rumours = peer?.digest?.let { news(state, digest.differences(it), MAX_RUMOURS, random) }.orEmpty()
+        val accusation = listOfNotNull(peer?.takeIf { it.suspected }?.rumour)
+        return heartbeat(state, content, digest, (accusation + rumours).distinct(), peer?.vetoDigest, random)
+    }
+
+    /** Returns the answer to [received], with the news that its sender does not have. */
+    fun answer(state: MembershipState, content: HeartbeatContent, received: Heartbeat, random: Random): Heartbeat {
+        val digest = MembershipDigest.of(state.rumours)
+        val newcomer = received.known * 2 < state.peers.size
+        val limit = if (newcomer) MAX_RUMOURS_TO_NEWCOMER else MAX_RUMOURS
+        val rumours = news(state, digest.differences(received.digest), limit, random)
+        val accusation = listOfNotNull(state.peers[received.sender.entry.instance]?.takeIf { it.suspected }?.rumour)
+        return heartbeat(state, content, digest, (accusation + rumours).distinct(), received.vetoDigest, random)
+    }
+
+    private fun heartbeat(
+        state: MembershipState,
+        content: HeartbeatContent,
+        digest: MembershipDigest,
+        rumours: List<Rumour>,
+        receiverVetoDigest: Int?,
+        random: Random,
+    ): Heartbeat {
+        val vetoes = if (receiverVetoDigest == content.vetoDigest) emptyList() else content.vetoes.shuffled(random)
+        return Heartbeat(
+            sender = state.self,
+            revision = content.revision,
+            vetoes = vetoes.take(MAX_VETOES).map { it.copy(reason = it.reason.take(MAX_REASON_LENGTH)) },
+            rumours = rumours,
+            digest = digest,
+            vetoDigest = content.vetoDigest,
+            known = state.peers.size + 1,
+        )
+    }
+
+    /** Returns at most [limit] rumours from [buckets]: most of them the latest, the rest at random. */
+    private fun news(state: MembershipState, buckets: Set<Int>, limit: Int, random: Random): List<Rumour> {
+        if (buckets.isEmpty()) return emptyList()
+        val candidates =
+            state.peers.values
+                .filter { MembershipDigest.bucket(it.state.entry.instance) in buckets }
+                .sortedByDescending { it.heardAt }
+        val latest = candidates.take(limit - limit / RANDOM_PART)
+        val others = candidates.drop(latest.size).shuffled(random).take(limit / RANDOM_PART)
+        return (latest + others).map { it.rumour }
+    }
+
+    private const val RANDOM_PART = 3
+
+    /** Returns [state] with what [heartbeat] told at [now]. */
+    fun learned(state: MembershipState, heartbeat: Heartbeat, now: MonotonicTime): MembershipState {
+        val told = heartbeat.rumours.take(MAX_RUMOURS_TO_NEWCOMER + 1) + Rumour(heartbeat.sender)
+        val learned = told.fold(state) { learned, rumour -> learned.learning(rumour, now) }
+        val sender = learned.peers[heartbeat.sender.entry.instance] ?: return learned
+        val touched =
+            sender.copy(contactAt = now, digest = heartbeat.digest, vetoDigest = heartbeat.vetoDigest)
+        val isCurrent = sender.state.entry == heartbeat.sender.entry
+        if (!isCurrent) return learned
+        return learned.copy(
+            peers = learned.peers.put(heartbeat.sender.entry.instance, touched),
+            contactAt = now,
+        )
+    }
+
+    private fun MembershipState.learning(rumour: Rumour, now: MonotonicTime): MembershipState {
+        val instance = rumour.state.entry.instance
+        if (instance == self.entry.instance) return refuting(rumour, now)
+        if (removed[instance]?.covers(rumour) == true) return this
+        val known = peers[instance]
+        if (known == null) return copy(peers = peers.put(instance, PeerRecord(rumour.state, now, rumour.suspected)))
+        if (!rumour.isNewerThan(known.rumour)) return this
+        val sameRun = known.state.entry == rumour.state.entry
+        val refuted = known.suspected && !rumour.suspected && sameRun
+        val updated =
+            PeerRecord(
+                state = rumour.state,
+                heardAt = now,
+                suspected = rumour.suspected,
+                contactAt = known.contactAt.takeIf { sameRun },
+                digest = known.digest.takeIf { sameRun },
+                vetoDigest = known.vetoDigest.takeIf { sameRun },
+                refutations = if (!sameRun) 0 else known.refutations + if (refuted) 1 else 0,
+            )
+        return copy(peers = peers.put(instance, updated))
+    }
+
+    /** Answers a suspicion against this entry by a newer state, which overrides it everywhere. */
+    private fun MembershipState.refuting(rumour: Rumour, now: MonotonicTime): MembershipState {
+        val accused = rumour.state
+        val applies = accused.entry == self.entry && (rumour.suspected || accused.beat > self.beat)
+        if (!applies || accused.beat < self.beat) return this
+        return copy(self = self.copy(beat = accused.beat + 1), announcedAt = now)
+    }
+}
+
+/**
+ * What a heartbeat carries besides membership.
+ *
+ * @property revision the newest configuration that this entry has
+ * @property vetoes every veto that this entry holds
+ */
+internal class HeartbeatContent(val revision: Revision, val vetoes: Collection<VersionVeto>) {
+    /** Hash of [vetoes] that does not depend on their order; 0 for none. */
+    val vetoDigest: Int = vetoes.fold(0) { hash, veto -> hash xor hash(veto) }
+
+    private fun hash(veto: VersionVeto): Int =
+        listOf(veto.move, veto.service.value, veto.version.value, veto.route.orEmpty()).hashCode()
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
@@ -1,10 +1,13 @@
 package org.yuccajunction.membership
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.yuccajunction.model.InstanceId
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.PlatformInstance
+import kotlin.time.Duration
 
 /**
  * The entries and instances that this entry knows of.
@@ -12,7 +15,16 @@
  * @property peers the other entries, by instance
  * @property instances the platform's instance list as last read
  * @property listedAt when [instances] was read, null before the first time
+ * @property lastBeatAt when the last round of heartbeats was sent
+ * @property nextBeatAt when the next round is due, null for at once
  * @property listing when the instance list is to be read next
+ * @property contactAt when a message last came from any peer, null before the first
+ * @property watched since when this entry watches each peer that it is to suspect after silence
+ * @property partners peers that heartbeats go to besides the watched ones, the oldest first
+ * @property removed entries that were forgotten lately
+ * @property load open requests over the entry's limit as last measured, from 0 to 1
+ * @property announcedAt when [self] last changed
+ * @property round number of rounds of heartbeats so far
  */
 public data class MembershipState(
     public val self: EntryState,
@@ -20,5 +32,37 @@
     public val instances: PersistentMap<InstanceId, PlatformInstance> = persistentMapOf(),
     public val listedAt: MonotonicTime? = null,
     public val lastBeatAt: MonotonicTime? = null,
+    public val nextBeatAt: MonotonicTime? = null,
     public val listing: Polling = Polling(),
-)
+    public val contactAt: MonotonicTime? = null,
+    public val watched: PersistentMap<InstanceId, MonotonicTime> = persistentMapOf(),
+    public val partners: PersistentList<Partner> = persistentListOf(),
+    public val removed: PersistentMap<InstanceId, RemovedEntry> = persistentMapOf(),
+    public val load: Double = 0.0,
+    public val announcedAt: MonotonicTime? = null,
+    public val round: Long = 0,
+) {
+    /** The peers that are not suspected. */
+    public val livePeers: List<PeerRecord> get() = peers.values.filterNot { it.suspected }
+
+    /** Everything that this entry knows of entries, itself included. */
+    public val rumours: List<Rumour> get() = peers.values.map { it.rumour } + Rumour(self)
+
+    /**
+     * Returns whether this entry has heard neither the platform nor any peer for [timeout].
+     *
+     * An isolated entry can't know what others do with the shares of a backend server's limit; it must not use more
+     * than it could be granted alone. An entry that has not yet heard anything is isolated.
+     */
+    public fun isIsolated(now: MonotonicTime, timeout: Duration = MembershipSettings().isolationTimeout): Boolean {
+        val heardAt = listOfNotNull(listedAt, contactAt).maxOrNull() ?: return true
+        return now - heardAt >= timeout
+    }
+
+    /** Returns this state after the entry changed its own state in a way that others must know at once. */
+    public fun announcing(now: MonotonicTime, change: (EntryState) -> EntryState): MembershipState {
+        val changed = change(self)
+        if (changed == self) return this
+        return copy(self = changed.copy(beat = self.beat + 1), announcedAt = now)
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Silence.kt
@@ -0,0 +1,68 @@
+package org.yuccajunction.membership
+
+import kotlinx.collections.immutable.toPersistentMap
+import org.yuccajunction.model.InstanceId
+import org.yuccajunction.model.MonotonicTime
+import kotlin.time.Duration
+
+/** Suspects watched peers after silence, and forgets peers that the platform no longer lists either. */
+internal class Silence(private val settings: MembershipSettings, private val targets: HeartbeatTargets) {
+    /**
+     * Returns [state] with the peers suspected that were silent for too long at [now].
+     *
+     * A pause of this entry itself counts against nobody: after one, the time of watching starts anew.
+     */
+    fun observed(state: MembershipState, now: MonotonicTime): MembershipState {
+        val watched = targets.watched(state)
+        val paused = state.lastBeatAt?.let { now - it > settings.interval * PAUSE_INTERVALS } ?: false
+        val since = watched.associateWith { if (paused) now else state.watched[it] ?: now }
+        val silent = watched.filter { isSilent(state, it, since.getValue(it), now) }
+        val suspected = silent.associateWith { state.peers.getValue(it).copy(suspected = true, heardAt = now) }
+        return state.copy(
+            watched = (since - silent.toSet()).toPersistentMap(),
+            peers = state.peers.putAll(suspected),
+        )
+    }
+
+    private fun isSilent(state: MembershipState, peer: InstanceId, since: MonotonicTime, now: MonotonicTime): Boolean {
+        val record = state.peers.getValue(peer)
+        val heardAt = maxOf(since, record.contactAt ?: since)
+        return now - heardAt >= patience(state, record) && isInTouch(state, heardAt)
+    }
+
+    /** Returns whether anyone else was heard since [silentSince]; else it is this entry that is cut off. */
+    private fun isInTouch(state: MembershipState, silentSince: MonotonicTime): Boolean {
+        val heardAt = if (state.livePeers.size > 1) state.contactAt else state.listedAt
+        return heardAt != null && heardAt > silentSince
+    }
+
+    private fun patience(state: MembershipState, record: PeerRecord): Duration {
+        val probes = settings.interval * PROBES_BEFORE_SUSPICION * state.watched.size.coerceAtLeast(1)
+        val factor = 1 shl record.refutations.coerceAtMost(MAX_DOUBLINGS)
+        return maxOf(settings.suspicionTimeout, probes) * factor
+    }
+
+    /** Returns [state] without peers that both the platform's list and other entries have given up. */
+    fun swept(state: MembershipState, now: MonotonicTime): MembershipState {
+        val gone =
+            state.peers.filter { (instance, record) ->
+                record.suspected &&
+                    now - record.heardAt >= settings.removalDelay &&
+                    instance !in state.instances &&
+                    state.listedAt?.let { it - record.heardAt >= settings.removalDelay } ?: false
+            }
+        val removals =
+            gone.mapValues { (_, record) -> RemovedEntry(record.state.entry.incarnation, record.state.beat, now) }
+        val remembered = state.removed.filterValues { now - it.at < settings.removedMemory }
+        return state.copy(
+            peers = gone.keys.fold(state.peers) { peers, instance -> peers.remove(instance) },
+            removed = (remembered + removals).toPersistentMap(),
+        )
+    }
+
+    private companion object {
+        const val PAUSE_INTERVALS = 3
+        const val PROBES_BEFORE_SUSPICION = 2.5
+        const val MAX_DOUBLINGS = 3
+    }
+}
