Put the entry process together

Change: EntryProcess wires control, adapters, caller, peer and operator servers and ends them in order.

--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryMeters.kt
@@ -0,0 +1,32 @@
+package org.yuccajunction.entry
+
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
+import org.yuccajunction.adapters.peer.PeerTraffic
+
+/** Registers what control costs an entry. */
+internal object EntryMeters {
+    fun register(meters: MeterRegistry, control: ControlThread, traffic: PeerTraffic) {
+        FunctionCounter
+            .builder("yuccajunction.control.processor.seconds", control) { it.processorTime.inWholeNanoseconds / NANOS }
+            .description("Processor time of the control thread")
+            .register(meters)
+        FunctionCounter
+            .builder("yuccajunction.peer.sent.bytes", traffic) { it.bytesSent.toDouble() }
+            .description("Bytes sent to other entries")
+            .register(meters)
+        FunctionCounter
+            .builder("yuccajunction.peer.received.bytes", traffic) { it.bytesReceived.toDouble() }
+            .description("Bytes received from other entries")
+            .register(meters)
+        Gauge
+            .builder("yuccajunction.configuration.revision", control) { it.board.deployment.revision.value.toDouble() }
+            .description("Revision of the configuration in force here")
+            .register(meters)
+        JvmMemoryMetrics().bindTo(meters)
+    }
+
+    private const val NANOS = 1e9
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryPeerHandler.kt
@@ -0,0 +1,32 @@
+package org.yuccajunction.entry
+
+import org.yuccajunction.control.ControlEvent
+import org.yuccajunction.control.MembershipController
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.entry.serving.ServingPeerHandler
+import org.yuccajunction.membership.Heartbeat
+import org.yuccajunction.port.ForwardOutcome
+import org.yuccajunction.port.ForwardedCall
+import org.yuccajunction.port.PeerHandler
+import org.yuccajunction.record.HandOver
+import org.yuccajunction.record.RecordAnswer
+
+/** Answers other entries: control questions from the blackboard, requests from the serving side. */
+public class EntryPeerHandler(
+    private val control: ControlThread,
+    private val membership: MembershipController,
+    private val serving: ServingPeerHandler,
+) : PeerHandler {
+    override suspend fun beat(heartbeat: Heartbeat): Heartbeat {
+        control.post(ControlEvent.HeartbeatReceived(heartbeat))
+        return membership.heartbeat(control.board)
+    }
+
+    override suspend fun deployment(): Deployment = control.board.deployment
+
+    override suspend fun run(call: ForwardedCall): ForwardOutcome = serving.run(call)
+
+    override suspend fun takeOver(handOver: HandOver): Boolean = serving.takeOver(handOver)
+
+    override suspend fun findRecord(requestId: String): RecordAnswer = serving.findRecord(requestId)
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -0,0 +1,198 @@
+package org.yuccajunction.entry
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.yuccajunction.adapters.peer.GrpcPeerServer
+import org.yuccajunction.control.Blackboard
+import org.yuccajunction.control.ConfigurationController
+import org.yuccajunction.control.ControlEvent
+import org.yuccajunction.control.ControlState
+import org.yuccajunction.control.InstanceController
+import org.yuccajunction.control.LogEvent
+import org.yuccajunction.control.MembershipController
+import org.yuccajunction.control.ServerController
+import org.yuccajunction.entry.serving.CallerServer
+import org.yuccajunction.entry.serving.ServingContext
+import org.yuccajunction.entry.serving.ServingLimits
+import org.yuccajunction.membership.EntryState
+import org.yuccajunction.membership.MembershipState
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.model.InstanceRole
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.PlatformInstance
+import org.yuccajunction.model.Revision
+import org.yuccajunction.routing.OpenRequests
+import org.yuccajunction.routing.TwoChoiceServerChooser
+import java.util.concurrent.CountDownLatch
+import kotlin.random.Random
+import kotlin.random.asKotlinRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One entry: puts the library, the adapters and the servers together, and ends them in order. */
+public class EntryProcess(private val settings: EntrySettings) {
+    private val clock: () -> MonotonicTime = { MonotonicTime(System.nanoTime()) }
+    private val random: Random = java.util.Random(settings.seed ?: System.nanoTime()).asKotlinRandom()
+    private val self = EntryIncarnation(settings.instanceId, System.currentTimeMillis())
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val outside = OutsideSystems(settings)
+    private val membership = MembershipController()
+    private val callerPort = PortReservation.of(settings.callerListen)
+    private val peerPort = PortReservation.of(settings.peerListen)
+    private val control: ControlThread = createControl()
+    private val callerServer = CallerServer(callerPort.release(), servingContext())
+    private val peerServer =
+        GrpcPeerServer(
+            peerPort.release(),
+            EntryPeerHandler(control, membership, callerServer.peerHandler),
+            outside.peerTraffic,
+        )
+    private val operatorServer =
+        OperatorServer(settings.operatorListen, { control.board }, ::isReady, meters) {}
+    private val ended = CountDownLatch(1)
+    private lateinit var operatorEndpoint: Endpoint
+
+    /** Starts every part; returns when all ports are open. */
+    public fun start() {
+        control.start(scope)
+        peerServer.start()
+        callerServer.start()
+        operatorEndpoint = operatorServer.start()
+        EntryMeters.register(meters, control, outside.peerTraffic)
+        scope.launch { keepRegistered() }
+        scope.launch { reportLoad() }
+        EventLog.write(LogEvent.ENTRY_STARTED, "entry=$self caller=${callerPort.endpoint}")
+    }
+
+    /** Names the ports in use, one a line. */
+    public fun addresses(): List<String> =
+        listOf("caller ${callerPort.endpoint}", "peer ${peerPort.endpoint}", "operator $operatorEndpoint")
+
+    /** Waits until a configuration is in force here. */
+    public fun awaitReady() {
+        while (!isReady() && ended.count > 0) Thread.sleep(READY_POLL.inWholeMilliseconds)
+    }
+
+    /** Waits until [shutDown] has finished. */
+    public fun awaitEnd() {
+        ended.await()
+    }
+
+    /** Finishes open requests within the shutdown notice, then ends every part. */
+    public fun shutDown() {
+        val notice = settings.shutdownNotice
+        EventLog.write(LogEvent.SHUTDOWN_BEGUN, "notice=$notice")
+        control.post(ControlEvent.ShutdownAnnounced(notice))
+        runBlocking {
+            outside.instances.register(platformInstance(leaving = true))
+            callerServer.drain(notice - STOP_RESERVE)
+            outside.instances.deregister(settings.instanceId)
+        }
+        callerServer.stop()
+        peerServer.stop(PEER_STOP_TIMEOUT)
+        operatorServer.stop()
+        scope.cancel()
+        control.close()
+        outside.close()
+        EventLog.write(LogEvent.SHUTDOWN_FINISHED, "entry=$self")
+        ended.countDown()
+    }
+
+    private fun isReady(): Boolean {
+        val board = control.board
+        return board.deployment.revision > Revision.NONE && !board.membership.self.leaving
+    }
+
+    private fun createControl(): ControlThread {
+        val controllers =
+            persistentListOf(
+                membership,
+                InstanceController(),
+                ConfigurationController(),
+                ServerController(),
+            )
+        val state = ControlState(Blackboard(clock(), MembershipState(initialState())), controllers, random)
+        lateinit var control: ControlThread
+        val performer =
+            CommandPerformer(scope, outside.controlPorts(), { control.board.deployment }, { control.post(it) })
+        control = ControlThread(state, clock, performer::perform)
+        return control
+    }
+
+    private fun servingContext(): ServingContext =
+        ServingContext(
+            self = self,
+            callerEndpoint = callerEndpoint(),
+            table = { control.table },
+            chooser = TwoChoiceServerChooser(),
+            openRequests = OpenRequests(),
+            engine = outside.engine,
+            application = outside.application,
+            peers = outside.peers,
+            objects = outside.objects,
+            observe = control::observe,
+            clock = clock,
+            random = random,
+            limits =
+                ServingLimits(
+                    bodyBytes = settings.bodyLimitBytes.toInt(),
+                    openRequests = settings.openRequestLimit,
+                ),
+            meters = meters,
+        )
+
+    private fun initialState(): EntryState =
+        EntryState(
+            entry = self,
+            beat = 0,
+            availabilityZone = settings.availabilityZone,
+            callerEndpoint = callerEndpoint(),
+            peerEndpoint = peerEndpoint(),
+            revision = Revision.NONE,
+        )
+
+    private fun callerEndpoint(): Endpoint = settings.callerAdvertise ?: callerPort.endpoint
+
+    private fun peerEndpoint(): Endpoint = settings.peerAdvertise ?: peerPort.endpoint
+
+    private fun platformInstance(leaving: Boolean): PlatformInstance =
+        PlatformInstance(
+            id = settings.instanceId,
+            role = InstanceRole.ENTRY,
+            availabilityZone = settings.availabilityZone,
+            endpoint = callerEndpoint(),
+            leaving = leaving,
+            peerEndpoint = peerEndpoint(),
+        )
+
+    private suspend fun keepRegistered() {
+        while (!outside.instances.register(platformInstance(leaving = false))) delay(REGISTRATION_RETRY)
+    }
+
+    private suspend fun reportLoad() {
+        while (scope.isActive) {
+            control.post(ControlEvent.LoadMeasured(callerServer.openRequests, settings.openRequestLimit))
+            delay(LOAD_INTERVAL)
+        }
+    }
+
+    private companion object {
+        val READY_POLL: Duration = 20.milliseconds
+        val REGISTRATION_RETRY: Duration = 500.milliseconds
+        val LOAD_INTERVAL: Duration = 1.seconds
+        val STOP_RESERVE: Duration = 1.seconds
+        val PEER_STOP_TIMEOUT: Duration = 500.milliseconds
+    }
+}
