Apply changes of sections by conditional update of the head

Cause: operators had no way to change the configuration, and two of them at once must not lose each other's changes. Change: DeploymentEditor writes the new section objects, keeps the replaced head in the history and replaces the head under its version.

--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/ChangeOutcome.kt
@@ -0,0 +1,26 @@
+package org.yuccajunction.configuration
+
+import org.yuccajunction.model.Finding
+import org.yuccajunction.model.Revision
+
+/** What became of a [ChangeRequest]. */
+public sealed interface ChangeOutcome {
+    /** The change is part of the configuration from [revision] on. */
+    public data class Accepted(public val revision: Revision) : ChangeOutcome
+
+    /** The configuration that would result has [findings]; nothing was changed. */
+    public data class Invalid(public val findings: List<Finding>) : ChangeOutcome
+
+    /**
+     * The section has changed since it was read; nothing was changed by this request.
+     *
+     * @property author who changed it last, null where that is no longer known
+     */
+    public data class Conflict(public val current: Revision, public val author: String?) : ChangeOutcome
+
+    /** The object API can't be had; nothing was changed. */
+    public data class Unavailable(public val detail: String) : ChangeOutcome
+
+    /** The change may have been accepted; ask again with the same write id. */
+    public data class Unknown(public val detail: String) : ChangeOutcome
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/ChangePlan.kt
@@ -0,0 +1,78 @@
+package org.yuccajunction.configuration
+
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.document.DeploymentReader
+import org.yuccajunction.document.DeploymentWriter
+import org.yuccajunction.document.SectionName
+import org.yuccajunction.model.Finding
+import org.yuccajunction.model.Revision
+
+/**
+ * Works out the head and the section texts that one change would lead to.
+ *
+ * @param inForce the configuration that the calling entry has; where it is newer than what is stored, the stored
+ * sections that differ from it are replaced by it
+ */
+internal class ChangePlan(
+    private val stored: DeploymentSnapshot,
+    inForce: Deployment,
+    private val request: ChangeRequest,
+) {
+    private val restored: Map<SectionName, String> = restoredSections(stored, inForce)
+    private val baseTexts = stored.texts + restored
+    private val baseRevisions = stored.head.sectionRevisions + restored.mapValues { inForce.revision }
+
+    /** The newest revision that is known here. */
+    val current: Revision = maxOf(stored.head.revision, inForce.revision)
+
+    /** The revision of the configuration that would result. */
+    val next: Revision = current.next()
+
+    /** The texts to be stored, by section. */
+    val newTexts: Map<SectionName, String> = restored + request.texts
+
+    /** Whether the request asks for what is there already. */
+    val changesNothing: Boolean = restored.isEmpty() && request.texts.all { (name, text) -> stored.texts[name] == text }
+
+    /** Finds a section of the request that was changed after the request's author read it. */
+    fun conflict(): ChangeOutcome.Conflict? {
+        val section = request.texts.keys.find { (baseRevisions[it] ?: Revision.NONE) > request.readAt } ?: return null
+        return ChangeOutcome.Conflict(current, stored.head.changes.findLast { it.section == section }?.author)
+    }
+
+    /** Finds what keeps the result from being accepted; faults that were in other sections before don't. */
+    fun findings(): List<Finding> {
+        val before = DeploymentReader.read(baseTexts, current).findings.toSet()
+        val changed = request.texts.keys.map { it.key }
+        return DeploymentReader.read(baseTexts + request.texts, next).findings
+            .filter { it.section in changed || it !in before }
+    }
+
+    /** The key of the object that holds the new text of [name]. */
+    fun keyOf(name: SectionName): String = ObjectKeys.section(name, request.writeId)
+
+    /** The head that would result; [trimmed] tells what it no longer remembers. */
+    fun head(): DeploymentHead =
+        DeploymentHead(
+            revision = next,
+            writeId = request.writeId,
+            sections = stored.head.sections + newTexts.keys.associateWith(::keyOf),
+            sectionRevisions = baseRevisions + request.texts.keys.associateWith { next },
+            changes = (stored.head.changes + newTexts.keys.map(::change)).takeLast(DeploymentHead.KEPT_CHANGES),
+        )
+
+    /** The changes that the resulting head no longer remembers. */
+    fun trimmed(): List<SectionChange> =
+        stored.head.changes.take(maxOf(0, stored.head.changes.size + newTexts.size - DeploymentHead.KEPT_CHANGES))
+
+    private fun change(name: SectionName) =
+        SectionChange(next, request.writeId, name, request.author, request.at, stored.head.sections[name])
+}
+
+private fun restoredSections(stored: DeploymentSnapshot, inForce: Deployment): Map<SectionName, String> {
+    if (inForce.revision <= stored.head.revision) return emptyMap()
+    val held = DeploymentReader.read(stored.texts, inForce.revision).deployment
+    return SectionName.entries
+        .filter { DeploymentWriter.write(held, it) != DeploymentWriter.write(inForce, it) }
+        .associateWith { DeploymentWriter.write(inForce, it) }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/ChangeRequest.kt
@@ -0,0 +1,21 @@
+package org.yuccajunction.configuration
+
+import org.yuccajunction.document.SectionName
+import org.yuccajunction.model.Revision
+
+/**
+ * One operator's wish to replace the texts of sections, all of them or none.
+ *
+ * @property texts the new YAML text of each section to replace
+ * @property readAt the revision at which the operator read the sections
+ * @property writeId unique for this wish, of letters, digits, '-', '_' and '.'; repeating the wish with the same id
+ * changes nothing twice
+ * @property at the time of the wish as an ISO 8601 instant, for people
+ */
+public data class ChangeRequest(
+    public val texts: Map<SectionName, String>,
+    public val readAt: Revision,
+    public val author: String,
+    public val writeId: String,
+    public val at: String,
+)
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/DeploymentEditor.kt
@@ -0,0 +1,106 @@
+package org.yuccajunction.configuration
+
+import arrow.core.getOrElse
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.model.Revision
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectWriting
+
+/**
+ * Applies operators' changes to the configuration in the object API.
+ *
+ * Many entries may do so at once; the head's version decides between them. No change that was reported as accepted is
+ * lost, and a change is reported as not made only where it can't take effect any more.
+ *
+ * @param pause waits before the next attempt, which is counted from 1
+ */
+public class DeploymentEditor(store: ObjectStore, private val pause: suspend (attempt: Int) -> Unit = {}) {
+    private val deployments = DeploymentStore(store)
+
+    /**
+     * Applies [request] and reports what became of it.
+     *
+     * [inForce] is the configuration that the calling entry has. Where the store holds an older one, because it was
+     * restored, the change is made on top of [inForce] and under a larger revision.
+     */
+    public suspend fun apply(request: ChangeRequest, inForce: Deployment): ChangeOutcome {
+        var progress = Progress()
+        for (attempt in 1..ATTEMPTS) {
+            val next = attempt(request, inForce, progress)
+            next.outcome?.let { return it }
+            progress = next
+            pause(attempt)
+        }
+        return progress.inDoubt?.let { ChangeOutcome.Unknown(progress.detail) }
+            ?: ChangeOutcome.Unavailable(progress.detail)
+    }
+
+    private suspend fun attempt(request: ChangeRequest, inForce: Deployment, before: Progress): Progress {
+        val stored = deployments.read().getOrElse { return before.copy(detail = it) }
+        val own = stored.head.changes.find { it.writeId == request.writeId }
+        if (own != null) return before.copy(outcome = ChangeOutcome.Accepted(own.revision))
+        val progress = before.seen(stored)
+        val plan = ChangePlan(stored, inForce, request)
+        val outcome = progress.outcome ?: refusal(plan, request)
+        return if (outcome == null) write(stored, plan, progress) else progress.copy(outcome = outcome)
+    }
+
+    private fun refusal(plan: ChangePlan, request: ChangeRequest): ChangeOutcome? {
+        if (request.readAt > plan.current) {
+            return ChangeOutcome.Unavailable("revision ${request.readAt} is not known here yet")
+        }
+        plan.conflict()?.let { return it }
+        if (plan.changesNothing) return ChangeOutcome.Accepted(plan.current)
+        return plan.findings().takeIf { it.isNotEmpty() }?.let { ChangeOutcome.Invalid(it) }
+    }
+
+    private suspend fun write(stored: DeploymentSnapshot, plan: ChangePlan, before: Progress): Progress {
+        for ((name, text) in plan.newTexts) {
+            deployments.create(plan.keyOf(name), text).onLeft { return before.copy(detail = it) }
+        }
+        if (stored.head.revision > Revision.NONE) {
+            deployments.keep(stored.head).onLeft { return before.copy(detail = it) }
+        }
+        return when (val writing = deployments.replaceHead(plan.head(), stored.expected)) {
+            is ObjectWriting.Written -> {
+                discard(plan)
+                before.copy(outcome = ChangeOutcome.Accepted(plan.next))
+            }
+            is ObjectWriting.Conflict -> before.copy(detail = "other operators' changes came first")
+            is ObjectWriting.Refused -> before.copy(detail = writing.detail)
+            is ObjectWriting.Unknown -> before.copy(inDoubt = stored, detail = writing.detail)
+        }
+    }
+
+    private suspend fun discard(plan: ChangePlan) {
+        for (change in plan.trimmed()) {
+            change.replacedKey?.let { deployments.discard(it) }
+            deployments.discard(ObjectKeys.history(change.revision))
+        }
+    }
+
+    private companion object {
+        const val ATTEMPTS = 8
+    }
+}
+
+/**
+ * How far a request has come.
+ *
+ * @property inDoubt the head on top of which a write was sent that may still take effect
+ */
+private data class Progress(
+    val inDoubt: DeploymentSnapshot? = null,
+    val detail: String = "",
+    val outcome: ChangeOutcome? = null,
+) {
+    /** Settles the doubt where [stored], which does not remember the write, proves that it can't take effect. */
+    fun seen(stored: DeploymentSnapshot): Progress {
+        if (inDoubt == null || stored.expected == inDoubt.expected) return this
+        val remembered = stored.head.changes
+        val complete = remembered.size < DeploymentHead.KEPT_CHANGES ||
+            remembered.first().revision <= inDoubt.head.revision
+        if (complete) return copy(inDoubt = null)
+        return copy(outcome = ChangeOutcome.Unknown("too many changes have been made since"))
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/DeploymentSnapshot.kt
@@ -0,0 +1,23 @@
+package org.yuccajunction.configuration
+
+import org.yuccajunction.document.SectionName
+import org.yuccajunction.model.Revision
+import org.yuccajunction.port.ExpectedVersion
+
+/**
+ * The configuration as the object API held it at one moment.
+ *
+ * @property expected the condition under which a write replaces exactly this head
+ * @property texts the YAML text of each section that the head names
+ */
+public data class DeploymentSnapshot(
+    public val head: DeploymentHead,
+    public val expected: ExpectedVersion,
+    public val texts: Map<SectionName, String>,
+) {
+    public companion object {
+        /** What is there before the first change. */
+        public val NONE: DeploymentSnapshot =
+            DeploymentSnapshot(DeploymentHead(Revision.NONE, "", emptyMap()), ExpectedVersion.Absent, emptyMap())
+    }
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/ObjectKeys.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/ObjectKeys.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.configuration
 
 import org.yuccajunction.document.SectionName
+import org.yuccajunction.model.Revision
 
 /** Names of the system's own objects in the platform's object API. */
 public object ObjectKeys {
@@ -19,8 +20,11 @@
     /** Start of the keys that claim callers' idempotency keys. */
     public const val CLAIM_PREFIX: String = "claims/"
 
-    /** Key of the text of one section, which never changes; [digest] is the SHA-256 of the text. */
-    public fun section(name: SectionName, digest: String): String = "deployment/sections/${name.key}/$digest"
+    /** Key of the text of one section, which never changes; [id] is unique among the texts of the section. */
+    public fun section(name: SectionName, id: String): String = "deployment/sections/${name.key}/$id"
+
+    /** Key of a [DeploymentHead] that was replaced. */
+    public fun history(revision: Revision): String = "deployment/history/$revision"
 
     /** Key of the status of one move of a version. */
     public fun moveStatus(move: String): String = "status/moves/$move"
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/document/YamlTree.kt
@@ -0,0 +1,64 @@
+package org.yuccajunction.document
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.charleskorn.kaml.EmptyYamlDocumentException
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import com.charleskorn.kaml.YamlNode
+import org.yuccajunction.model.Finding
+
+/** Parses YAML text of unknown origin within limits of size and depth. */
+internal object YamlTree {
+    /** The largest text that is parsed, in characters. */
+    const val MAXIMUM_CHARACTERS: Int = 512 * 1024
+
+    /** The most columns of indentation and of list markers at the start of a line. */
+    private const val MAXIMUM_INDENTATION = 64
+
+    /** The most brackets and braces that are open at once. */
+    private const val MAXIMUM_OPEN_BRACKETS = 16
+
+    private val lineStart = Regex("^[ \\t]*(?:[-?:][ \\t]+)*")
+
+    /** Returns the root of [text], null for a text without content, or the one finding that keeps it from parsing. */
+    fun parse(section: String, text: String): Either<Finding, YamlNode?> {
+        limitFinding(section, text)?.let { return it.left() }
+        return try {
+            Yaml.default.parseToYamlNode(text).right()
+        } catch (exception: EmptyYamlDocumentException) {
+            null.right()
+        } catch (exception: YamlException) {
+            Finding(section, "", exception.line, exception.message).left()
+        } catch (exception: IllegalArgumentException) {
+            Finding(section, "", null, exception.message ?: "unreadable").left()
+        }
+    }
+
+    private fun limitFinding(section: String, text: String): Finding? {
+        if (text.length > MAXIMUM_CHARACTERS) {
+            return Finding(section, "", null, "longer than $MAXIMUM_CHARACTERS characters")
+        }
+        var open = 0
+        text.lineSequence().forEachIndexed { index, line ->
+            open = openBrackets(line, open)
+            val indentation = lineStart.find(line)?.value?.length ?: 0
+            if (open > MAXIMUM_OPEN_BRACKETS || indentation > MAXIMUM_INDENTATION) {
+                return Finding(section, "", index + 1, "nested too deeply")
+            }
+        }
+        return null
+    }
+
+    private fun openBrackets(line: String, before: Int): Int {
+        var open = before
+        var deepest = before
+        for (character in line) {
+            if (character == '[' || character == '{') open++
+            if (character == ']' || character == '}') open = maxOf(0, open - 1)
+            deepest = maxOf(deepest, open)
+        }
+        return if (deepest > MAXIMUM_OPEN_BRACKETS) deepest else open
+    }
+}
