Exchange digests in heartbeats and watch each entry from two sides

Cause: heartbeats that carry every known state grow with the fleet, and silence of one entry was noticed only by chance. Change: both sides of a heartbeat compare hashed digests and tell only what the other lacks, bounded; each entry is watched by its predecessor on the ring of its availability zone and by one entry of the zone before; a suspicion is a rumour that the suspected entry overrides; an entry that hears nobody suspects nobody; pauses of its own don't count. Ruled out: watching by rank in the zone. Places on a hashed ring move only the neighbours.

--- a/yuccajunction-adapters/src/test/kotlin/org/yuccajunction/adapters/peer/GrpcPeersTest.kt
+++ b/yuccajunction-adapters/src/test/kotlin/org/yuccajunction/adapters/peer/GrpcPeersTest.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.protobuf.ProtoBuf
 import org.junit.jupiter.api.AfterEach
 import org.yuccajunction.document.Deployment
 import org.yuccajunction.membership.EntryState
@@ -29,6 +31,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+@OptIn(ExperimentalSerializationApi::class)
 class GrpcPeersTest {
     private val traffic = PeerTraffic()
     private val peers = GrpcPeers(traffic)
@@ -86,6 +89,17 @@
         assertEquals(RecordAnswer.Unknown("entry-1~1~0~a"), peers.findRecord(endpoint, "entry-1~1~0~a"))
     }
 
+    @Test
+    fun `a heartbeat costs little more than its content`() = runBlocking {
+        repeat(20) { peers.beat(endpoint, heartbeat(1)) }
+        val before = traffic.bytesSent + traffic.bytesReceived
+        repeat(100) { peers.beat(endpoint, heartbeat(1)) }
+        val perMessage = (traffic.bytesSent + traffic.bytesReceived - before) / 200
+        val content = ProtoBuf.encodeToByteArray(Heartbeat.serializer(), heartbeat(1)).size
+        println("bytes for each message: $perMessage, content $content")
+        assertTrue(perMessage - content < 100, "bytes beside the content: ${perMessage - content}")
+    }
+
     private fun call(text: String): ForwardedCall =
         ForwardedCall(
             RequestId(EntryIncarnation(InstanceId("entry-2"), 1), 0, "a"),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.control
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import org.yuccajunction.capacity.InstanceOrder
 import org.yuccajunction.capacity.ReclaimNotice
 import org.yuccajunction.document.Deployment
@@ -8,6 +9,7 @@
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.model.Finding
 import org.yuccajunction.model.LoadReport
 import org.yuccajunction.model.PlatformInstance
 import org.yuccajunction.port.ObjectListing
@@ -24,8 +26,17 @@
 
     public data class HeartbeatReceived(public val heartbeat: Heartbeat) : ControlEvent
 
-    /** A whole configuration was read from the object API or from a peer. */
-    public data class DeploymentRead(public val deployment: Deployment) : ControlEvent
+    /**
+     * A whole configuration was read from the object API or from a peer.
+     *
+     * @property fromPeer whether it is in force at a peer; else the object API holds it
+     * @property findings faults of sections that kept their previous content
+     */
+    public data class DeploymentRead(
+        public val deployment: Deployment,
+        public val fromPeer: Boolean = false,
+        public val findings: PersistentList<Finding> = persistentListOf(),
+    ) : ControlEvent
 
     /** The platform's instance list was read. */
     public data class InstancesListed(public val instances: PersistentList<PlatformInstance>) : ControlEvent
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Heartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Heartbeat.kt
@@ -14,7 +14,6 @@
  * @property rumours states of other entries that the receiver may not know yet
  * @property digest hashes of all that the sender knows of entries
  * @property vetoDigest hash of all vetoes that the sender holds
- * @property known number of entries that the sender knows
  */
 @Serializable
 public data class Heartbeat(
@@ -24,5 +23,4 @@
     public val rumours: List<Rumour> = emptyList(),
     public val digest: MembershipDigest = MembershipDigest(),
     public val vetoDigest: Int = 0,
-    public val known: Int = 0,
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
@@ -1,6 +1,5 @@
 package org.yuccajunction.membership
 
-import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.Revision
 import org.yuccajunction.rollout.VersionVeto
@@ -9,25 +8,23 @@
 /** Makes heartbeats and learns from them. */
 internal object HeartbeatExchange {
     private const val MAX_RUMOURS = 6
-    private const val MAX_RUMOURS_TO_NEWCOMER = 32
+    private const val MAX_RUMOURS_AFTER_UPHEAVAL = 24
+    private const val UPHEAVAL_BUCKETS = 14
     private const val MAX_VETOES = 4
     private const val MAX_REASON_LENGTH = 80
 
-    /** Returns the heartbeat that goes to the peer at [to], with the news that it did not have when it last told. */
-    fun request(state: MembershipState, content: HeartbeatContent, to: Endpoint, random: Random): Heartbeat {
-        val peer = state.peers.values.find { it.state.peerEndpoint == to }
-        val digest = MembershipDigest.of(state.rumours)
-        val rumours = peer?.digest?.let { news(state, digest.differences(it), MAX_RUMOURS, random) }.orEmpty()
+    /** Returns the heartbeat that goes to [peer], with the news that it did not have when it last told. */
+    fun request(state: MembershipState, content: HeartbeatContent, peer: PeerRecord?, random: Random): Heartbeat {
+        val digest = state.digest
+        val rumours = peer?.digest?.let { news(state, digest.differences(it), random) }.orEmpty()
         val accusation = listOfNotNull(peer?.takeIf { it.suspected }?.rumour)
         return heartbeat(state, content, digest, (accusation + rumours).distinct(), peer?.vetoDigest, random)
     }
 
     /** Returns the answer to [received], with the news that its sender does not have. */
     fun answer(state: MembershipState, content: HeartbeatContent, received: Heartbeat, random: Random): Heartbeat {
-        val digest = MembershipDigest.of(state.rumours)
-        val newcomer = received.known * 2 < state.peers.size
-        val limit = if (newcomer) MAX_RUMOURS_TO_NEWCOMER else MAX_RUMOURS
-        val rumours = news(state, digest.differences(received.digest), limit, random)
+        val digest = state.digest
+        val rumours = news(state, digest.differences(received.digest), random)
         val accusation = listOfNotNull(state.peers[received.sender.entry.instance]?.takeIf { it.suspected }?.rumour)
         return heartbeat(state, content, digest, (accusation + rumours).distinct(), received.vetoDigest, random)
     }
@@ -48,13 +45,13 @@
             rumours = rumours,
             digest = digest,
             vetoDigest = content.vetoDigest,
-            known = state.peers.size + 1,
         )
     }
 
-    /** Returns at most [limit] rumours from [buckets]: most of them the latest, the rest at random. */
-    private fun news(state: MembershipState, buckets: Set<Int>, limit: Int, random: Random): List<Rumour> {
+    /** Returns a bounded number of rumours from [buckets]: most of them the latest, the rest at random. */
+    private fun news(state: MembershipState, buckets: Set<Int>, random: Random): List<Rumour> {
         if (buckets.isEmpty()) return emptyList()
+        val limit = if (buckets.size >= UPHEAVAL_BUCKETS) MAX_RUMOURS_AFTER_UPHEAVAL else MAX_RUMOURS
         val candidates =
             state.peers.values
                 .filter { MembershipDigest.bucket(it.state.entry.instance) in buckets }
@@ -68,17 +65,14 @@
 
     /** Returns [state] with what [heartbeat] told at [now]. */
     fun learned(state: MembershipState, heartbeat: Heartbeat, now: MonotonicTime): MembershipState {
-        val told = heartbeat.rumours.take(MAX_RUMOURS_TO_NEWCOMER + 1) + Rumour(heartbeat.sender)
+        val told = heartbeat.rumours.take(MAX_RUMOURS_AFTER_UPHEAVAL + 1) + Rumour(heartbeat.sender)
         val learned = told.fold(state) { learned, rumour -> learned.learning(rumour, now) }
         val sender = learned.peers[heartbeat.sender.entry.instance] ?: return learned
         val touched =
             sender.copy(contactAt = now, digest = heartbeat.digest, vetoDigest = heartbeat.vetoDigest)
         val isCurrent = sender.state.entry == heartbeat.sender.entry
         if (!isCurrent) return learned
-        return learned.copy(
-            peers = learned.peers.put(heartbeat.sender.entry.instance, touched),
-            contactAt = now,
-        )
+        return learned.withPeer(touched).copy(contactAt = now)
     }
 
     private fun MembershipState.learning(rumour: Rumour, now: MonotonicTime): MembershipState {
@@ -86,10 +80,9 @@
         if (instance == self.entry.instance) return refuting(rumour, now)
         if (removed[instance]?.covers(rumour) == true) return this
         val known = peers[instance]
-        if (known == null) return copy(peers = peers.put(instance, PeerRecord(rumour.state, now, rumour.suspected)))
+        if (known == null) return withPeer(PeerRecord(rumour.state, now, rumour.suspected))
         if (!rumour.isNewerThan(known.rumour)) return this
         val sameRun = known.state.entry == rumour.state.entry
-        val refuted = known.suspected && !rumour.suspected && sameRun
         val updated =
             PeerRecord(
                 state = rumour.state,
@@ -98,9 +91,8 @@
                 contactAt = known.contactAt.takeIf { sameRun },
                 digest = known.digest.takeIf { sameRun },
                 vetoDigest = known.vetoDigest.takeIf { sameRun },
-                refutations = if (!sameRun) 0 else known.refutations + if (refuted) 1 else 0,
             )
-        return copy(peers = peers.put(instance, updated))
+        return withPeer(updated)
     }
 
     /** Answers a suspicion against this entry by a newer state, which overrides it everywhere. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatTargets.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatTargets.kt
@@ -3,7 +3,6 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import org.yuccajunction.model.AvailabilityZone
-import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.InstanceId
 import org.yuccajunction.model.InstanceRole
 import org.yuccajunction.model.MonotonicTime
@@ -18,69 +17,96 @@
 internal class HeartbeatTargets(private val settings: MembershipSettings) {
     /** Returns the peers that the entry of [state] watches. */
     fun watched(state: MembershipState): List<InstanceId> {
-        val zones = zones(state)
-        val own = zones.getValue(state.self.availabilityZone)
-        val rank = own.indexOf(state.self.entry.instance)
-        val successor = own[(rank + 1) % own.size].takeIf { it != state.self.entry.instance }
-        return (listOfNotNull(successor) + covered(zones, state.self.availabilityZone, rank)).distinct()
+        val self = state.self.entry.instance
+        val zone = state.self.availabilityZone
+        val live = state.livePeers.map { it.state } + state.self
+        val successor = live.ring(zone).firstAfter(self) ?: return covered(live, zone, self, end = self)
+        return listOf(successor) + covered(live, zone, self, end = successor)
     }
 
-    private fun zones(state: MembershipState): Map<AvailabilityZone, List<InstanceId>> =
-        (state.livePeers.map { it.state } + state.self)
-            .groupBy({ it.availabilityZone }, { it.entry.instance })
-            .mapValues { (_, instances) -> instances.sortedBy { it.value } }
-
-    /** Returns the part of the next zone that the entry at [rank] of [zone] covers. */
+    /** Returns the entries of the zone after [zone] whose places on the ring are from [start] to before [end]. */
     private fun covered(
-        zones: Map<AvailabilityZone, List<InstanceId>>,
+        live: List<EntryState>,
         zone: AvailabilityZone,
-        rank: Int,
+        start: InstanceId,
+        end: InstanceId,
     ): List<InstanceId> {
-        val names = zones.keys.sortedBy { it.value }
-        val next = names[(names.indexOf(zone) + 1) % names.size]
+        val next = zoneAfter(zone, live)
         if (next == zone) return emptyList()
-        val size = zones.getValue(zone).size
-        val others = zones.getValue(next)
-        val first = rank * others.size / size
-        val end = ((rank + 1) * others.size + size - 1) / size
-        return others.subList(first, end).take(MAX_COVERED)
+        val from = RingPlace.of(start)
+        val to = RingPlace.of(end)
+        return live.ring(next).filter { RingPlace.of(it).isBetween(from, to) }.take(MAX_COVERED)
+    }
+
+    private fun List<EntryState>.ring(zone: AvailabilityZone): List<InstanceId> =
+        filter { it.availabilityZone == zone }.map { it.entry.instance }.sortedBy { RingPlace.of(it) }
+
+    private fun List<InstanceId>.firstAfter(instance: InstanceId): InstanceId? =
+        this[(indexOf(instance) + 1) % size].takeIf { it != instance }
+
+    private fun zoneAfter(zone: AvailabilityZone, live: List<EntryState>): AvailabilityZone {
+        val zones = live.mapTo(mutableSetOf()) { it.availabilityZone }.sortedBy { it.value }
+        return zones[(zones.indexOf(zone) + 1) % zones.size]
     }
 
     /** Returns [state] with partners that are live, the oldest replaced after its lifetime. */
     fun withPartners(state: MembershipState, now: MonotonicTime, random: Random): MembershipState {
-        val live = state.livePeers.map { it.state.entry.instance }.toSet()
-        val kept = state.partners.filter { it.instance in live }
+        val kept = state.partners.filter { state.peers[it.instance]?.suspected == false }
         val oldestIsDue = kept.size == settings.partners && now - kept.first().since >= settings.partnerLifetime
         val remaining = if (oldestIsDue) kept.drop(1) else kept
-        val candidates = (live - remaining.map { it.instance }.toSet()).sortedBy { it.value }
-        val added = candidates.shuffled(random).take(settings.partners - remaining.size).map { Partner(it, now) }
+        if (remaining.size == settings.partners) return state
+        val taken = remaining.map { it.instance }.toSet()
+        val candidates = state.livePeers.map { it.state.entry.instance }.filterNot { it in taken }
+        val added =
+            candidates
+                .sortedBy { it.value }
+                .shuffled(random)
+                .take(settings.partners - remaining.size)
+                .map { Partner(it, now) }
         return state.copy(partners = (remaining + added).toPersistentList())
     }
 
     /** Returns where the heartbeats of the current round go. */
-    fun ofRound(state: MembershipState, random: Random): PersistentList<Endpoint> {
+    fun ofRound(state: MembershipState, random: Random): PersistentList<HeartbeatTarget> {
         val watched = state.watched.keys.sortedBy { it.value }.inTurn(state.round)
         val partner = state.partners.inTurn(state.round)?.instance
-        val known = listOfNotNull(watched, partner).mapNotNull { state.peers[it]?.state?.peerEndpoint }
-        val strangers = if (state.round % STRANGER_ROUNDS == 0L || known.isEmpty()) strangers(state) else emptyList()
-        return (known + listOfNotNull(strangers.randomOrNull(random))).distinct().toPersistentList()
+        val peers = (listOfNotNull(watched, partner) + overdue(state)).distinct().mapNotNull { state.peers[it] }
+        val known = peers.map { HeartbeatTarget(it.state.peerEndpoint, it) }
+        val isStrangersTurn = state.round % STRANGER_ROUNDS == 0L || known.isEmpty()
+        val stranger = if (isStrangersTurn) strangers(state).randomOrNull(random) else null
+        return (known + listOfNotNull(stranger)).distinctBy { it.endpoint }.toPersistentList()
+    }
+
+    /** Returns the watched peers that should have been heard by now; they are asked in every round. */
+    private fun overdue(state: MembershipState): List<InstanceId> {
+        val now = state.lastBeatAt ?: return emptyList()
+        val bound = settings.suspicionTimeout / 2
+        return state.watched
+            .mapValues { (instance, since) -> maxOf(since, state.peers[instance]?.contactAt ?: since) }
+            .filterValues { now - it >= bound }
+            .keys
+            .take(MAX_COVERED)
     }
 
-    /** Returns where entries may listen that this one has no contact with: listed but unknown, or suspected. */
-    private fun strangers(state: MembershipState): List<Endpoint> {
+    /** Returns the entries that this one has no contact with: listed but unknown, or suspected. */
+    private fun strangers(state: MembershipState): List<HeartbeatTarget> {
         val listed =
             state.instances.values
                 .filter { it.role == InstanceRole.ENTRY && it.id != state.self.entry.instance }
                 .filter { state.peers[it.id]?.state?.peerEndpoint != it.peerEndpoint }
                 .mapNotNull { it.peerEndpoint }
-        val suspected = state.peers.values.filter { it.suspected }.map { it.state.peerEndpoint }
+                .map { HeartbeatTarget(it, peer = null) }
+        val suspected =
+            state.peers.values
+                .filter { it.suspected }
+                .map { HeartbeatTarget(it.state.peerEndpoint, it) }
         return listed + suspected
     }
 
     private fun <T> List<T>.inTurn(round: Long): T? = if (isEmpty()) null else this[(round % size).toInt()]
 
     private companion object {
-        const val MAX_COVERED = 3
+        const val MAX_COVERED = 4
         const val STRANGER_ROUNDS = 4L
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Membership.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Membership.kt
@@ -57,7 +57,7 @@
         val content = HeartbeatContent(revision, vetoes)
         return targets
             .ofRound(state, random)
-            .map { AddressedHeartbeat(it, HeartbeatExchange.request(state, content, it, random)) }
+            .map { AddressedHeartbeat(it.endpoint, HeartbeatExchange.request(state, content, it.peer, random)) }
             .toPersistentList()
     }
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipDigest.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipDigest.kt
@@ -16,6 +16,18 @@
     public fun differences(other: MembershipDigest): Set<Int> =
         (0 until BUCKETS).filter { hash(it) != other.hash(it) }.toSet()
 
+    /** Returns the digest with [rumour] added, or taken away where it was in. */
+    public fun toggled(rumour: Rumour): MembershipDigest {
+        val bucket = bucket(rumour.state.entry.instance)
+        val change = (hash(rumour) and HASH_MASK) shl (bucket % BUCKETS_PER_WORD * HASH_BITS)
+        return MembershipDigest(
+            List(WORDS) { index ->
+                val word = words.getOrElse(index) { 0 }
+                if (index == bucket / BUCKETS_PER_WORD) word xor change else word
+            },
+        )
+    }
+
     private fun hash(bucket: Int): Long {
         val word = words.getOrElse(bucket / BUCKETS_PER_WORD) { 0 }
         return (word shr (bucket % BUCKETS_PER_WORD * HASH_BITS)) and HASH_MASK
@@ -26,40 +38,23 @@
         public const val BUCKETS: Int = 16
 
         private const val BUCKETS_PER_WORD = 4
+        private const val WORDS = BUCKETS / BUCKETS_PER_WORD
         private const val HASH_BITS = 14
         private const val HASH_MASK = (1L shl HASH_BITS) - 1
-        private const val FIRST_MULTIPLIER = -0x40a7b892e31b1a47L
-        private const val SECOND_MULTIPLIER = -0x6b2fb644ecceee15L
-        private const val SHIFT = 31
 
         /** Returns the bucket of [instance]. */
         public fun bucket(instance: InstanceId): Int =
-            (mix(instance.value.hashCode().toLong()) and Long.MAX_VALUE).rem(BUCKETS).toInt()
+            (mixed(instance.value.hashCode().toLong()) and Long.MAX_VALUE).rem(BUCKETS).toInt()
 
         /** Makes the digest of [known], which holds each entry once. */
-        public fun of(known: Iterable<Rumour>): MembershipDigest {
-            val hashes = LongArray(BUCKETS)
-            for (rumour in known) {
-                val bucket = bucket(rumour.state.entry.instance)
-                hashes[bucket] = hashes[bucket] xor hash(rumour)
-            }
-            return MembershipDigest(hashes.asList().chunked(BUCKETS_PER_WORD, ::word))
-        }
-
-        private fun word(hashes: List<Long>): Long =
-            hashes.foldRight(0L) { hash, word -> (word shl HASH_BITS) or (hash and HASH_MASK) }
+        public fun of(known: Iterable<Rumour>): MembershipDigest =
+            known.fold(MembershipDigest()) { digest, rumour -> digest.toggled(rumour) }
 
         private fun hash(rumour: Rumour): Long {
             val entry = rumour.state.entry
-            val incarnation = mix(entry.instance.value.hashCode().toLong()) + entry.incarnation
-            val beat = mix(incarnation) + rumour.state.beat
-            return mix(mix(beat) + if (rumour.suspected) 1 else 0)
-        }
-
-        private fun mix(value: Long): Long {
-            val first = (value xor (value ushr SHIFT)) * FIRST_MULTIPLIER
-            val second = (first xor (first ushr SHIFT)) * SECOND_MULTIPLIER
-            return second xor (second ushr SHIFT)
+            val incarnation = mixed(entry.instance.value.hashCode().toLong()) + entry.incarnation
+            val beat = mixed(incarnation) + rumour.state.beat
+            return mixed(mixed(beat) + if (rumour.suspected) 1 else 0)
         }
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipSettings.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipSettings.kt
@@ -19,12 +19,12 @@
  */
 public data class MembershipSettings(
     public val interval: Duration = 1.seconds,
-    public val suspicionTimeout: Duration = 5.seconds,
+    public val suspicionTimeout: Duration = 6.seconds,
     public val isolationTimeout: Duration = 10.seconds,
     public val partners: Int = 3,
     public val partnerLifetime: Duration = 30.seconds,
     public val announcementInterval: Duration = 2.seconds,
-    public val announcementIntervalPerPeer: Duration = 250.milliseconds,
+    public val announcementIntervalPerPeer: Duration = 500.milliseconds,
     public val removalDelay: Duration = 10.seconds,
     public val removedMemory: Duration = 2.minutes,
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
@@ -25,6 +25,7 @@
  * @property load open requests over the entry's limit as last measured, from 0 to 1
  * @property announcedAt when [self] last changed
  * @property round number of rounds of heartbeats so far
+ * @property peersDigest digest of [peers]; use [withPeer] and [withoutPeer] to change both
  */
 public data class MembershipState(
     public val self: EntryState,
@@ -41,12 +42,27 @@
     public val load: Double = 0.0,
     public val announcedAt: MonotonicTime? = null,
     public val round: Long = 0,
+    public val peersDigest: MembershipDigest = MembershipDigest.of(peers.values.map { it.rumour }),
 ) {
     /** The peers that are not suspected. */
     public val livePeers: List<PeerRecord> get() = peers.values.filterNot { it.suspected }
 
-    /** Everything that this entry knows of entries, itself included. */
-    public val rumours: List<Rumour> get() = peers.values.map { it.rumour } + Rumour(self)
+    /** Hashes of everything that this entry knows of entries, itself included. */
+    public val digest: MembershipDigest get() = peersDigest.toggled(Rumour(self))
+
+    /** Returns this state with [peer] in place of what was known of its instance. */
+    public fun withPeer(peer: PeerRecord): MembershipState {
+        val instance = peer.state.entry.instance
+        val before = peers[instance]
+        val others = if (before == null) peersDigest else peersDigest.toggled(before.rumour)
+        return copy(peers = peers.put(instance, peer), peersDigest = others.toggled(peer.rumour))
+    }
+
+    /** Returns this state without what was known of [instance]. */
+    public fun withoutPeer(instance: InstanceId): MembershipState {
+        val before = peers[instance] ?: return this
+        return copy(peers = peers.remove(instance), peersDigest = peersDigest.toggled(before.rumour))
+    }
 
     /**
      * Returns whether this entry has heard neither the platform nor any peer for [timeout].
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/PeerRecord.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/PeerRecord.kt
@@ -10,7 +10,6 @@
  * @property contactAt when a message last came from the peer itself, null before the first
  * @property digest what the peer knew of all entries when it last told, null before the first message
  * @property vetoDigest hash of the vetoes that the peer held when it last told
- * @property refutations how often a suspicion against this incarnation proved wrong
  */
 public data class PeerRecord(
     public val state: EntryState,
@@ -19,7 +18,6 @@
     public val contactAt: MonotonicTime? = null,
     public val digest: MembershipDigest? = null,
     public val vetoDigest: Int? = null,
-    public val refutations: Int = 0,
 ) {
     /** What this entry tells others of the peer. */
     public val rumour: Rumour get() = Rumour(state, suspected)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Silence.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Silence.kt
@@ -3,7 +3,6 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.yuccajunction.model.InstanceId
 import org.yuccajunction.model.MonotonicTime
-import kotlin.time.Duration
 
 /** Suspects watched peers after silence, and forgets peers that the platform no longer lists either. */
 internal class Silence(private val settings: MembershipSettings, private val targets: HeartbeatTargets) {
@@ -17,17 +16,16 @@
         val paused = state.lastBeatAt?.let { now - it > settings.interval * PAUSE_INTERVALS } ?: false
         val since = watched.associateWith { if (paused) now else state.watched[it] ?: now }
         val silent = watched.filter { isSilent(state, it, since.getValue(it), now) }
-        val suspected = silent.associateWith { state.peers.getValue(it).copy(suspected = true, heardAt = now) }
-        return state.copy(
-            watched = (since - silent.toSet()).toPersistentMap(),
-            peers = state.peers.putAll(suspected),
-        )
+        val suspected = silent.map { state.peers.getValue(it).copy(suspected = true, heardAt = now) }
+        return suspected
+            .fold(state, MembershipState::withPeer)
+            .copy(watched = (since - silent.toSet()).toPersistentMap())
     }
 
     private fun isSilent(state: MembershipState, peer: InstanceId, since: MonotonicTime, now: MonotonicTime): Boolean {
         val record = state.peers.getValue(peer)
         val heardAt = maxOf(since, record.contactAt ?: since)
-        return now - heardAt >= patience(state, record) && isInTouch(state, heardAt)
+        return now - heardAt >= settings.suspicionTimeout && isInTouch(state, heardAt)
     }
 
     /** Returns whether anyone else was heard since [silentSince]; else it is this entry that is cut off. */
@@ -36,14 +34,9 @@
         return heardAt != null && heardAt > silentSince
     }
 
-    private fun patience(state: MembershipState, record: PeerRecord): Duration {
-        val probes = settings.interval * PROBES_BEFORE_SUSPICION * state.watched.size.coerceAtLeast(1)
-        val factor = 1 shl record.refutations.coerceAtMost(MAX_DOUBLINGS)
-        return maxOf(settings.suspicionTimeout, probes) * factor
-    }
-
     /** Returns [state] without peers that both the platform's list and other entries have given up. */
     fun swept(state: MembershipState, now: MonotonicTime): MembershipState {
+        if (state.removed.isEmpty() && state.peers.values.none { it.suspected }) return state
         val gone =
             state.peers.filter { (instance, record) ->
                 record.suspected &&
@@ -54,15 +47,12 @@
         val removals =
             gone.mapValues { (_, record) -> RemovedEntry(record.state.entry.incarnation, record.state.beat, now) }
         val remembered = state.removed.filterValues { now - it.at < settings.removedMemory }
-        return state.copy(
-            peers = gone.keys.fold(state.peers) { peers, instance -> peers.remove(instance) },
-            removed = (remembered + removals).toPersistentMap(),
-        )
+        return gone.keys
+            .fold(state, MembershipState::withoutPeer)
+            .copy(removed = (remembered + removals).toPersistentMap())
     }
 
     private companion object {
         const val PAUSE_INTERVALS = 3
-        const val PROBES_BEFORE_SUSPICION = 2.5
-        const val MAX_DOUBLINGS = 3
     }
 }
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/membership/MembershipNetwork.kt
@@ -0,0 +1,166 @@
+package org.yuccajunction.membership
+
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.protobuf.ProtoBuf
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.model.InstanceId
+import org.yuccajunction.model.InstanceRole
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.PlatformInstance
+import org.yuccajunction.model.Revision
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Passes heartbeats between many membership states under a hand-moved clock, losing and delaying some of them. */
+@OptIn(ExperimentalSerializationApi::class)
+internal class MembershipNetwork(size: Int, seed: Long, private val loss: Double = 0.0, acquainted: Boolean = false) {
+    private val random = Random(seed)
+    private val membership = Membership()
+    private val queue = PriorityQueue<Delivery>(compareBy({ it.at }, { it.order }))
+    private var order = 0L
+    private val paused = mutableSetOf<Int>()
+    val dead = mutableSetOf<Int>()
+    val cut = mutableSetOf<Int>()
+    var listed: Set<Int> = (0 until size).toSet()
+    val states: MutableList<MembershipState> = MutableList(size) { MembershipState(entry(it, incarnation = 1)) }
+    val revisions: MutableList<Revision> = MutableList(size) { Revision(1) }
+    var now: MonotonicTime = MonotonicTime.ZERO
+        private set
+
+    /** Bytes of all heartbeats and answers that were sent, by sender. */
+    val bytesSent: LongArray = LongArray(size)
+
+    val live: List<Int> get() = states.indices.filter { it !in dead && it !in paused }
+
+    init {
+        if (acquainted) acquaint()
+        states.indices.forEach { schedule(random.nextLong(TICK_MILLIS).milliseconds) { tick(it) } }
+    }
+
+    fun run(time: Duration) {
+        val end = now + time
+        while (queue.isNotEmpty() && queue.peek().at <= end) {
+            val next = queue.poll()
+            now = next.at
+            next.action()
+        }
+        now = end
+    }
+
+    /** Runs until [condition] holds and returns the time that it took; null where it took longer than [atMost]. */
+    fun timeUntil(atMost: Duration, condition: () -> Boolean): Duration? {
+        val start = now
+        while (now - start < atMost) {
+            if (condition()) return now - start
+            run(STEP)
+        }
+        return null
+    }
+
+    fun pause(entry: Int, time: Duration) {
+        paused += entry
+        schedule(time) { paused -= entry }
+    }
+
+    fun restart(entry: Int, incarnation: Long) {
+        states[entry] = MembershipState(entry(entry, incarnation))
+    }
+
+    fun knowledge(of: Int, about: Int): PeerRecord? = states[of].peers[states[about].self.entry.instance]
+
+    private fun acquaint() {
+        states.replaceAll { it.copy(self = it.self.copy(revision = Revision(1)), announcedAt = now) }
+        val records = states.associate { it.self.entry.instance to PeerRecord(it.self, now) }.toPersistentMap()
+        val digest = MembershipDigest.of(records.values.map { it.rumour })
+        states.replaceAll { state ->
+            val others = digest.toggled(Rumour(state.self))
+            state.copy(peers = records.remove(state.self.entry.instance), peersDigest = others)
+        }
+    }
+
+    private fun tick(entry: Int) {
+        schedule(TICK_MILLIS.milliseconds) { tick(entry) }
+        if (entry in dead || entry in paused) return
+        if (entry !in cut) states[entry] = states[entry].copy(instances = list(), listedAt = now)
+        if (!membership.isRoundDue(states[entry], now)) return
+        states[entry] = membership.beginRound(states[entry], revisions[entry], now, random)
+        membership
+            .heartbeats(states[entry], revisions[entry], emptyList(), random)
+            .forEach { send(entry, it.to.port - PORT_BASE, it.heartbeat, answered = true) }
+    }
+
+    private fun send(from: Int, to: Int, heartbeat: Heartbeat, answered: Boolean) {
+        bytesSent[from] += ProtoBuf.encodeToByteArray(Heartbeat.serializer(), heartbeat).size + CALL_OVERHEAD_BYTES
+        val isLost = random.nextDouble() < loss || from in cut || to in cut
+        if (!isLost) schedule(delay()) { receive(from, to, heartbeat, answered) }
+    }
+
+    private fun delay(): Duration =
+        (if (random.nextDouble() < loss) random.nextLong(LATE_MILLIS) else random.nextLong(1, PROMPT_MILLIS))
+            .milliseconds
+
+    private fun receive(from: Int, to: Int, heartbeat: Heartbeat, answered: Boolean) {
+        if (to in dead) return
+        if (to in paused) {
+            schedule(TICK_MILLIS.milliseconds) { receive(from, to, heartbeat, answered) }
+            return
+        }
+        val before = states[to]
+        states[to] = membership.learned(before, heartbeat, now)
+        if (heartbeat.revision > revisions[to]) revisions[to] = heartbeat.revision
+        if (answered) send(to, from, membership.answer(before, revisions[to], emptyList(), heartbeat, random), false)
+    }
+
+    private fun schedule(delay: Duration, action: () -> Unit) {
+        queue += Delivery(now + delay, order++, action)
+    }
+
+    private fun list() = cachedList.also { if (listedFor != listed) cachedList = makeList() }.let { cachedList }
+
+    private var listedFor: Set<Int> = emptySet()
+    private var cachedList = makeList()
+
+    private fun makeList() =
+        listed
+            .map { states[it].self }
+            .associate { it.entry.instance to row(it) }
+            .toPersistentMap()
+            .also { listedFor = listed }
+
+    private fun row(entry: EntryState) =
+        PlatformInstance(
+            entry.entry.instance,
+            InstanceRole.ENTRY,
+            entry.availabilityZone,
+            entry.callerEndpoint,
+            peerEndpoint = entry.peerEndpoint,
+        )
+
+    private class Delivery(val at: MonotonicTime, val order: Long, val action: () -> Unit)
+
+    companion object {
+        const val ZONES = 4
+        private const val TICK_MILLIS = 100L
+        private const val PROMPT_MILLIS = 5L
+        private const val LATE_MILLIS = 4_000L
+        private const val CALL_OVERHEAD_BYTES = 100L
+        private val STEP = 200.milliseconds
+
+        fun entry(number: Int, incarnation: Long): EntryState =
+            EntryState(
+                EntryIncarnation(InstanceId("entry-%04d".format(number)), incarnation),
+                beat = 0,
+                AvailabilityZone("cairo-${'a' + number % ZONES}"),
+                Endpoint("10.0.${number / 256}.${number % 256}", 8_080),
+                Endpoint("10.0.${number / 256}.${number % 256}", number + PORT_BASE),
+                Revision.NONE,
+            )
+
+        const val PORT_BASE = 1
+    }
+}
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
@@ -1,8 +1,10 @@
 package org.yuccajunction.entry
 
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.yuccajunction.configuration.DeploymentLoader
+import org.yuccajunction.configuration.LoadedDeployment
 import org.yuccajunction.control.ControlCommand
 import org.yuccajunction.control.ControlEvent
 import org.yuccajunction.document.Deployment
@@ -33,14 +35,17 @@
         when (command) {
             is ControlCommand.SendHeartbeat ->
                 ports.peers.beat(command.to, command.heartbeat)?.let(ControlEvent::HeartbeatReceived)
+                    ?: ControlEvent.HeartbeatUnanswered(command.to)
             is ControlCommand.PullDeployment ->
-                ports.peers.pullDeployment(command.from)?.let(ControlEvent::DeploymentRead)
+                ports.peers.pullDeployment(command.from)?.let { ControlEvent.DeploymentRead(it, fromPeer = true) }
+                    ?: ControlEvent.PullUnanswered(command.from)
             is ControlCommand.PollServer -> poll(command)
             is ControlCommand.OrderServer -> order(command)
             is ControlCommand.StartInstance ->
                 ControlEvent.InstanceStarted(command.order, ports.cloud.start(command.order))
             is ControlCommand.StopInstance -> null.also { ports.cloud.stop(command.instance) }
-            is ControlCommand.ListInstances -> ports.instances.read()?.let(ControlEvent::InstancesListed)
+            is ControlCommand.ListInstances ->
+                ports.instances.read()?.let(ControlEvent::InstancesListed) ?: ControlEvent.InstancesUnavailable
             is ControlCommand.ReadNotices -> ports.cloud.notices()?.let(ControlEvent::NoticesRead)
             is ControlCommand.Log -> null
             else -> answerFromStore(command)
@@ -48,7 +53,7 @@
 
     private suspend fun answerFromStore(command: ControlCommand): ControlEvent? =
         when (command) {
-            is ControlCommand.ReadDeployment -> loader.load(deployment())?.let(ControlEvent::DeploymentRead)
+            is ControlCommand.ReadDeployment -> loaded(loader.load(deployment()))
             is ControlCommand.ReadObject -> ControlEvent.ObjectRead(command.key, ports.objects.read(command.key))
             is ControlCommand.WriteObject ->
                 ControlEvent.ObjectWritten(
@@ -65,6 +70,14 @@
             else -> null
         }
 
+    private fun loaded(outcome: LoadedDeployment): ControlEvent =
+        when (outcome) {
+            is LoadedDeployment.Loaded ->
+                ControlEvent.DeploymentRead(outcome.deployment, findings = outcome.findings.toPersistentList())
+            LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration was accepted yet")
+            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(outcome.detail)
+        }
+
     private suspend fun poll(command: ControlCommand.PollServer): ControlEvent =
         ControlEvent.ServerReported(command.server, ports.engine.report(command.endpoint))
 
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -146,10 +146,10 @@
             clock = clock,
             random = random,
             limits =
-                ServingLimits(
-                    bodyBytes = settings.bodyLimitBytes.toInt(),
-                    openRequests = settings.openRequestLimit,
-                ),
+            ServingLimits(
+                bodyBytes = settings.bodyLimitBytes.toInt(),
+                openRequests = settings.openRequestLimit,
+            ),
             meters = meters,
         )
 
