Serve model streams and application calls over one entry

Change: pure machines for streams and calls (dispatch, ordered tokens, silence bound, retry budget, truthful endings), adapters for model engines and applications with one exchange a connection, and CallerServer with the address answer, chat completions and calls below /apps. ServingContext groups the four outside systems in ServingPorts. Not yet: at-most-once records, forwarding to the home of a request, hand-over at shutdown.

--- /dev/null
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/engine/ConnectFailure.kt
@@ -0,0 +1,17 @@
+package org.yuccajunction.adapters.engine
+
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import java.net.ConnectException
+import java.net.NoRouteToHostException
+import java.nio.channels.UnresolvedAddressException
+
+/** Returns whether this failure proves that no connection was made, hence that no byte of a request left. */
+internal fun Throwable.isConnectFailure(): Boolean =
+    generateSequence(this) { it.cause }.take(CAUSE_LIMIT).any {
+        it is ConnectTimeoutException ||
+            it is ConnectException ||
+            it is NoRouteToHostException ||
+            it is UnresolvedAddressException
+    }
+
+private const val CAUSE_LIMIT = 8
--- /dev/null
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/engine/EngineStreamReader.kt
@@ -0,0 +1,60 @@
+package org.yuccajunction.adapters.engine
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.yuccajunction.port.EngineEvent
+import org.yuccajunction.port.EngineRequest
+
+/**
+ * Reads the server-sent events of one generation and checks that they are this attempt's and that none is missing.
+ *
+ * One instance reads one stream. After an event that ends the stream, nothing more is read.
+ */
+internal class EngineStreamReader(private val request: EngineRequest) {
+    private val expectedId = "chatcmpl-${request.attemptId}"
+    private var nextOffset = request.generatedTokens
+    private var last: EngineChunk? = null
+
+    /** Returns the event that [line] stands for, null for one that says nothing. */
+    fun read(line: String): EngineEvent? {
+        if (!line.startsWith(DATA)) return null
+        val data = line.removePrefix(DATA).trim()
+        if (data == DONE) return done()
+        val chunk =
+            try {
+                JSON.decodeFromString<EngineChunk>(data)
+            } catch (_: SerializationException) {
+                return EngineEvent.Broken("an event of the engine is not readable", invalid = true)
+            }
+        return chunk(chunk)
+    }
+
+    private fun chunk(chunk: EngineChunk): EngineEvent? {
+        if (chunk.id != expectedId) return EngineEvent.Broken("the engine sent another request's event", invalid = true)
+        val choice = chunk.choices.firstOrNull()
+        if (choice?.finishReason != null) last = chunk
+        if (chunk.usage != null && choice?.finishReason == null) last = last?.copy(usage = chunk.usage)
+        val text = choice?.delta?.content
+        if (text == null || choice.tokenOffset == null) return null
+        if (choice.tokenOffset != nextOffset) {
+            return EngineEvent.Broken("token ${choice.tokenOffset} came where $nextOffset was due", invalid = true)
+        }
+        nextOffset += 1
+        return EngineEvent.Token(choice.tokenOffset, text)
+    }
+
+    private fun done(): EngineEvent {
+        val end = last ?: return EngineEvent.Broken("the engine ended without a finish reason", invalid = true)
+        val reason = end.choices.first().finishReason.orEmpty()
+        val usage = end.usage ?: return EngineEvent.Broken("the engine ended without its usage", invalid = true)
+        val tokens = usage.completionTokens?.let { it + request.generatedTokens }
+        if (tokens != nextOffset) return EngineEvent.Broken("the engine counted $tokens tokens", invalid = true)
+        return EngineEvent.Completed(tokens, reason, usage.promptTokens, usage.promptTokensDetails.cachedTokens)
+    }
+
+    private companion object {
+        const val DATA = "data:"
+        const val DONE = "[DONE]"
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandedStream.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandedStream.kt
@@ -10,7 +10,9 @@
  * One open stream of a model, handed on.
  *
  * @property body the caller's chat completion request as JSON text
- * @property tokens every token generated so far, acknowledged by the caller or not
+ * @property tokens every token generated since [baseText], acknowledged by the caller or not
+ * @property baseText text that the caller brought along from an earlier entry
+ * @property baseTokens number of tokens in [baseText]
  */
 @Serializable
 public data class HandedStream(
@@ -20,4 +22,6 @@
     public val service: ServiceName,
     public val body: String,
     public val tokens: List<String>,
+    public val baseText: String = "",
+    public val baseTokens: Int = 0,
 )
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/Attempt.kt
@@ -0,0 +1,52 @@
+package org.yuccajunction.traffic
+
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.routing.AttemptObservation
+import org.yuccajunction.routing.AttemptResult
+import org.yuccajunction.routing.RoutingQuery
+import org.yuccajunction.routing.ServerRoute
+
+/** The state of one attempt at a backend server. */
+internal class Attempt(
+    val number: Int,
+    val server: ServerRoute,
+    val dispatchedAt: MonotonicTime,
+    val openAtDispatch: Int,
+    val recomputedTokens: Int,
+) {
+    var lastProgressAt: MonotonicTime = dispatchedAt
+    var firstProgressAt: MonotonicTime? = null
+    var tokens: Int = 0
+
+    fun progress(now: MonotonicTime) {
+        if (firstProgressAt == null) firstProgressAt = now
+        lastProgressAt = now
+        tokens += 1
+    }
+
+    fun observation(query: RoutingQuery, result: AttemptResult, recomputed: Int = recomputedTokens) =
+        AttemptObservation(
+            service = query.service,
+            version = server.version,
+            server = server.id,
+            workspace = query.workspace,
+            requestClass = query.requestClass,
+            route = query.route,
+            result = result,
+            firstTokenMillis = firstProgressAt?.let { (it - dispatchedAt).inWholeMilliseconds },
+            millisPerToken = millisPerToken(),
+            tokens = tokens,
+            recomputedTokens = recomputed,
+            openAtDispatch = openAtDispatch,
+        )
+
+    private fun millisPerToken(): Double? {
+        val first = firstProgressAt ?: return null
+        if (tokens < 2) return null
+        return (lastProgressAt - first).inWholeMicroseconds / MICROSECONDS_PER_MILLISECOND / (tokens - 1)
+    }
+
+    private companion object {
+        const val MICROSECONDS_PER_MILLISECOND = 1000.0
+    }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/AddressHandler.kt
@@ -0,0 +1,28 @@
+package org.yuccajunction.entry.serving
+
+import io.ktor.http.ContentType
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respondText
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.routing.EntryAddress
+import org.yuccajunction.traffic.AddressOrder
+
+/** Serves `GET /v1/entries`. */
+internal class AddressHandler(private val state: ServingState) {
+    suspend fun handle(call: ApplicationCall) {
+        val zone = call.request.queryParameters["availabilityZone"]?.takeIf { it.isNotBlank() }?.let(::AvailabilityZone)
+        call.respondText(WIRE_JSON.encodeToString(answer(zone)), ContentType.Application.Json)
+    }
+
+    fun answer(zone: AvailabilityZone?): AddressAnswer {
+        val table = state.context.table()
+        val named = table.entries.filter { it.entry != state.context.self || state.phase == ServingPhase.SERVING }
+        val entries = AddressOrder.of(named, zone, state.context.random).map { it.answered() }
+        return AddressAnswer(entries, table.addressAnswerSeconds, entries.firstOrNull()?.identityPrefix)
+    }
+
+    private fun EntryAddress.answered(): AnsweredEntry {
+        val epoch = if (entry == state.context.self) state.identities.epoch else identityEpoch
+        return AnsweredEntry(callerEndpoint.toString(), availabilityZone.value, "$entry~$epoch")
+    }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Admission.kt
@@ -0,0 +1,63 @@
+package org.yuccajunction.entry.serving
+
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import org.yuccajunction.document.WorkspaceRule
+import org.yuccajunction.model.RefusalReason
+import java.security.MessageDigest
+
+/** Checks who calls and whether there is room for one more request. */
+internal class Admission(private val state: ServingState) {
+    /** Returns the rule of the caller's workspace, null where its key is missing or unknown. */
+    fun workspace(call: ApplicationCall): WorkspaceRule? {
+        val header = call.request.headers[HttpHeaders.Authorization] ?: return null
+        if (!header.startsWith(BEARER, ignoreCase = true)) return null
+        return state.context.table().workspaces[sha256(header.substring(BEARER.length).trim())]
+    }
+
+    /**
+     * Runs [request] while it holds one place of the entry and one of the workspace.
+     *
+     * Returns why there is no place, null where [request] has run.
+     */
+    suspend fun withPlace(rule: WorkspaceRule, request: suspend () -> Unit): CallerRefusal? {
+        val refusal = take(rule)
+        if (refusal != null) return refusal
+        try {
+            request()
+        } finally {
+            release(rule)
+        }
+        return null
+    }
+
+    /** Takes one place of the entry and one of the workspace; returns why there is none, null where they are taken. */
+    fun take(rule: WorkspaceRule): CallerRefusal? {
+        if (state.phase == ServingPhase.FINISHING) {
+            return CallerRefusal(RefusalReason.ENTRY_LEAVING, "this entry is shutting down")
+        }
+        val limit = state.context.limits.openRequests
+        if (state.open.incrementAndGet() > limit) {
+            state.open.decrementAndGet()
+            return CallerRefusal(RefusalReason.ENTRY_LIMIT, "the entry holds $limit open requests")
+        }
+        if (!state.context.openRequests.tryAcquire(rule.name, rule.openRequestLimit)) {
+            state.open.decrementAndGet()
+            val detail = "the workspace holds ${rule.openRequestLimit} open requests at this entry"
+            return CallerRefusal(RefusalReason.WORKSPACE_LIMIT, detail)
+        }
+        return null
+    }
+
+    /** Returns what [take] took. */
+    fun release(rule: WorkspaceRule) {
+        state.context.openRequests.release(rule.name)
+        state.open.decrementAndGet()
+    }
+}
+
+private const val BEARER = "Bearer "
+
+/** Returns the SHA-256 of [text] in lower-case hexadecimal. */
+internal fun sha256(text: String): String =
+    MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).joinToString("") { "%02x".format(it) }
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/AnsweredEntry.kt
@@ -0,0 +1,16 @@
+package org.yuccajunction.entry.serving
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One entry of an [AddressAnswer].
+ *
+ * @property address IP address and port
+ * @property identityPrefix start of the identities of requests that are sent to this entry
+ */
+@Serializable
+public data class AnsweredEntry(
+    public val address: String,
+    public val availabilityZone: String,
+    public val identityPrefix: String,
+)
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallRunner.kt
@@ -0,0 +1,115 @@
+package org.yuccajunction.entry.serving
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.yuccajunction.model.Ending
+import org.yuccajunction.port.ApplicationCall
+import org.yuccajunction.port.ApplicationOutcome
+import org.yuccajunction.port.ForwardOutcome
+import org.yuccajunction.port.ForwardedCall
+import org.yuccajunction.traffic.CallMachine
+import org.yuccajunction.traffic.CallRequest
+import org.yuccajunction.traffic.RequestCommand
+import org.yuccajunction.traffic.RequestEvent
+import org.yuccajunction.traffic.TrafficEnvironment
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Performs the commands of one application call's machine at real backend servers. */
+internal class CallRunner(
+    private val context: ServingContext,
+    environment: TrafficEnvironment,
+    private val meters: ServingMeters,
+    private val request: CallRequest,
+    private val call: ForwardedCall,
+) {
+    private val machine = CallMachine(request, environment)
+    private val events = Channel<RequestEvent>(EVENT_CAPACITY)
+    private val attempts = HashMap<Int, Job>()
+    private var answer: ApplicationOutcome.Answered? = null
+    private var ending: Ending? = null
+
+    /** Runs the call to its end and returns what came of it. */
+    suspend fun run(): ForwardOutcome {
+        val startedAt = context.clock()
+        drive()
+        val final = checkNotNull(ending) { "the machine has not ended" }
+        if (final == Ending.Completed) {
+            meters.whole(request.workspace, request.requestClass, context.clock() - startedAt)
+        }
+        RequestLog.ended(request.requestId, final)
+        return outcome(final)
+    }
+
+    private suspend fun drive(): Unit =
+        coroutineScope {
+            val ticker = launch { tick() }
+            perform(RequestEvent.Arrived)
+            while (ending == null) perform(events.receive())
+            ticker.cancel()
+            attempts.values.forEach { it.cancel() }
+        }
+
+    private suspend fun CoroutineScope.tick() {
+        while (isActive) {
+            delay(TICK)
+            events.send(RequestEvent.Ticked)
+        }
+    }
+
+    private fun CoroutineScope.perform(event: RequestEvent) {
+        val commands = machine.handle(event, context.clock())
+        commands.forEach { perform(it) }
+    }
+
+    private fun CoroutineScope.perform(command: RequestCommand) {
+        when (command) {
+            is RequestCommand.Dispatch -> attempts[command.attempt] = launch { attempt(command) }
+            is RequestCommand.Cancel -> attempts.remove(command.attempt)?.cancel()
+            is RequestCommand.Answer -> answer = command.answer
+            is RequestCommand.Observe -> context.observe(command.observation)
+            is RequestCommand.Retry -> retry(command)
+            is RequestCommand.End -> ending = command.ending
+            is RequestCommand.Forward -> error("an application sends no tokens")
+        }
+    }
+
+    private suspend fun attempt(command: RequestCommand.Dispatch) {
+        val attemptId = "${request.requestId}.${command.attempt}"
+        val sent =
+            ApplicationCall(attemptId, request.requestId.toString(), call.method, call.target, call.headers, call.body)
+        val outcome = context.ports.application.call(command.server.endpoint, sent)
+        events.send(outcome.asRequestEvent(command.attempt))
+    }
+
+    private fun retry(command: RequestCommand.Retry) {
+        meters.retried(command.cause)
+        RequestLog.retried(request.requestId, command.cause)
+    }
+
+    private fun outcome(final: Ending): ForwardOutcome =
+        when (final) {
+            is Ending.Completed -> checkNotNull(answer).let { ForwardOutcome.Answered(it.status, it.headers, it.body) }
+            is Ending.Refused ->
+                ForwardOutcome.Refused(final.reason, final.retryAfter.inWholeMilliseconds, final.detail)
+            is Ending.Failed -> ForwardOutcome.Unknown(final.detail)
+            is Ending.OutcomeUnknown -> ForwardOutcome.Unknown(final.detail)
+            is Ending.Moved -> error("a call is not moved")
+        }
+
+    private companion object {
+        const val EVENT_CAPACITY = 16
+        val TICK = 100.milliseconds
+    }
+}
+
+private fun ApplicationOutcome.asRequestEvent(attempt: Int): RequestEvent =
+    when (this) {
+        is ApplicationOutcome.Answered -> RequestEvent.CallAnswered(attempt, this)
+        is ApplicationOutcome.NotRun -> RequestEvent.NotRun(attempt, detail, unreachable)
+        is ApplicationOutcome.Unclear -> RequestEvent.Broken(attempt, detail)
+    }
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallerServer.kt
@@ -0,0 +1,89 @@
+package org.yuccajunction.entry.serving
+
+import io.ktor.server.application.Application
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.netty.NettyApplicationEngine
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.netty.handler.codec.http.HttpServerCodec
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import org.yuccajunction.model.Endpoint
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Serves callers on one endpoint: the address answer, models and applications. */
+public class CallerServer(private val endpoint: Endpoint, private val context: ServingContext) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val state = ServingState(context, scope)
+    private val admission = Admission(state)
+    private val addresses = AddressHandler(state)
+    private val completions = CompletionHandler(state, admission)
+    private val calls = CallHandler(state, admission)
+    private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
+        embeddedServer(Netty, configure = { configure() }, module = { routes() })
+
+    /** The part of serving that other entries call. */
+    public val peerHandler: ServingPeerHandler = ServingPeerHandler(state)
+
+    /** The newest identity epoch of this entry. */
+    public val identityEpoch: Long get() = state.identities.epoch
+
+    /** The requests that this entry holds open now. */
+    public val openRequests: Int get() = state.open.get()
+
+    /** Begins to listen; fails where the endpoint is taken. */
+    public fun start() {
+        server.start(wait = false)
+    }
+
+    /** Finishes open requests within [remaining], while new ones are taken only as long as old address answers last. */
+    public suspend fun drain(remaining: Duration) {
+        state.phase = ServingPhase.UNNAMED
+        delay(minOf(remaining / 2, (context.table().addressAnswerSeconds * MILLIS_PER_SECOND).milliseconds))
+        state.phase = ServingPhase.FINISHING
+    }
+
+    /** Closes the endpoint and ends what is still open. */
+    public fun stop() {
+        server.stop(0, STOP_TIMEOUT_MILLIS)
+        scope.cancel()
+    }
+
+    private fun NettyApplicationEngine.Configuration.configure() {
+        connector {
+            host = endpoint.host
+            port = endpoint.port
+        }
+        connectionGroupSize = CONNECTION_THREADS
+        workerGroupSize = WORKER_THREADS
+        callGroupSize = CALL_THREADS
+        httpServerCodec = { HttpServerCodec(LINE_BYTES, context.limits.headerBytes, CHUNK_BYTES) }
+    }
+
+    private fun Application.routes() {
+        routing {
+            get("/v1/entries") { addresses.handle(call) }
+            post("/v1/chat/completions") { completions.handle(call) }
+            route("/apps/{application}/{path...}") { handle { calls.handle(call) } }
+        }
+    }
+
+    private companion object {
+        const val CONNECTION_THREADS = 1
+        const val WORKER_THREADS = 2
+        const val CALL_THREADS = 4
+        const val LINE_BYTES = 8_192
+        const val CHUNK_BYTES = 8_192
+        const val STOP_TIMEOUT_MILLIS = 1_000L
+        const val MILLIS_PER_SECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionBody.kt
@@ -0,0 +1,71 @@
+package org.yuccajunction.entry.serving
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.contentOrNull
+import org.yuccajunction.model.ServiceName
+
+/**
+ * A caller's chat completion request.
+ *
+ * @property fields the request without the text that the caller holds already
+ * @property heldText the part of the answer that the caller holds already, empty where it holds none
+ */
+internal class CompletionBody(
+    val fields: JsonObject,
+    val model: ServiceName,
+    val isStreamed: Boolean,
+    val heldText: String,
+) {
+    /** A rough count of the prompt's tokens. */
+    val promptTokens: Int = fields["messages"].toString().length / CHARACTERS_PER_TOKEN
+
+    /** Equal for prompts with an equal start. */
+    val prefixKey: Long = fields["messages"].toString().take(PREFIX_CHARACTERS).hashOf64Bits()
+
+    companion object {
+        private const val CHARACTERS_PER_TOKEN = 4
+        private const val PREFIX_CHARACTERS = 1_024
+
+        /** Reads [bytes]; returns null where they are no chat completion request. */
+        fun parse(bytes: ByteArray): CompletionBody? {
+            val fields = bytes.asJsonObject() ?: return null
+            val model = fields["model"].asText()?.takeIf { it.isNotBlank() } ?: return null
+            val messages = (fields["messages"] as? JsonArray)?.takeIf { it.all { one -> one is JsonObject } }
+            return messages?.let { of(fields, ServiceName(model), it) }
+        }
+
+        private fun of(fields: JsonObject, model: ServiceName, messages: JsonArray): CompletionBody? {
+            val streamed = fields["stream"].asBoolean()
+            val last = messages.lastOrNull() as? JsonObject
+            val continued = fields["continue_final_message"].asBoolean() && last?.get("role").asText() == "assistant"
+            if (!continued) return CompletionBody(fields, model, streamed, "")
+            val held = last?.get("content").asText() ?: return null
+            val kept = fields - setOf("continue_final_message", "add_generation_prompt")
+            val prompt = JsonObject(kept + ("messages" to JsonArray(messages.dropLast(1))))
+            return CompletionBody(prompt, model, streamed, held)
+        }
+    }
+}
+
+private fun ByteArray.asJsonObject(): JsonObject? =
+    try {
+        WIRE_JSON.parseToJsonElement(decodeToString()) as? JsonObject
+    } catch (_: SerializationException) {
+        null
+    }
+
+private fun JsonElement?.asText(): String? = (this as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
+
+private fun JsonElement?.asBoolean(): Boolean = (this as? JsonPrimitive)?.booleanOrNull ?: false
+
+private const val HASH_SEED = -3_750_763_034_362_895_579L
+private const val HASH_PRIME = 1_099_511_628_211L
+
+/** The 64-bit FNV-1a hash. */
+private fun String.hashOf64Bits(): Long =
+    fold(HASH_SEED) { hash, character -> (hash xor character.code.toLong()) * HASH_PRIME }
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionHandler.kt
@@ -0,0 +1,108 @@
+package org.yuccajunction.entry.serving
+
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import kotlinx.coroutines.launch
+import org.yuccajunction.document.WorkspaceRule
+import org.yuccajunction.model.RefusalReason
+import org.yuccajunction.model.RequestId
+import org.yuccajunction.traffic.StreamRequest
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Serves `POST /v1/chat/completions`. */
+internal class CompletionHandler(private val state: ServingState, private val admission: Admission) {
+    private val responses = CompletionResponses(state)
+
+    suspend fun handle(call: ApplicationCall) {
+        val rule = admission.workspace(call) ?: return call.refuse(RefusalReason.UNKNOWN_KEY, "the key is not known")
+        val limit = state.context.limits.bodyBytes
+        val bytes =
+            call.readBody(limit)
+                ?: return call.refuse(RefusalReason.TOO_LARGE, "the body is longer than $limit bytes")
+        val body =
+            CompletionBody.parse(bytes)
+                ?: return call.refuse(RefusalReason.BAD_REQUEST, "the body is no chat completion request")
+        if (body.model !in state.context.table().services) {
+            return call.refuse(RefusalReason.UNKNOWN_SERVICE, "there is no such model")
+        }
+        serve(call, rule, body)
+    }
+
+    private suspend fun serve(call: ApplicationCall, rule: WorkspaceRule, body: CompletionBody) {
+        val resume = StreamPosition.parse(call.request.headers["Last-Event-ID"])
+        val id = resume?.requestId ?: call.requestId()
+        if (id == null) return call.refuse(RefusalReason.BAD_REQUEST, "the request identity is unreadable")
+        val next = resume?.let { it.offset + 1 } ?: 0
+        val held = state.streams.find(id)?.takeIf { it.request.workspace == rule.name && it.covers(next) }
+        val stream = held ?: start(call, rule, body, id, next) ?: return
+        if (resume != null) state.meters.resumed(if (held != null) "held" else "text")
+        call.response.header(REQUEST_ID_HEADER, id.toString())
+        responses.send(call, stream, next, body)
+    }
+
+    private suspend fun start(
+        call: ApplicationCall,
+        rule: WorkspaceRule,
+        body: CompletionBody,
+        id: RequestId,
+        next: Int,
+    ): HeldStream? {
+        if (next > 0 && body.heldText.isEmpty()) {
+            call.refuse(RefusalReason.BAD_REQUEST, "the stream is not held here; repeat the text that you hold")
+            return null
+        }
+        val refusal = admission.take(rule)
+        if (refusal != null) {
+            call.refuse(refusal.reason, refusal.detail)
+            return null
+        }
+        val stream = held(call, rule, body, id, next)
+        launchRun(stream, rule)
+        return stream
+    }
+
+    private fun held(
+        call: ApplicationCall,
+        rule: WorkspaceRule,
+        body: CompletionBody,
+        id: RequestId,
+        next: Int,
+    ): HeldStream {
+        val time = call.deadlineMillis()?.milliseconds ?: state.context.limits.requestTime
+        val request =
+            StreamRequest(
+                requestId = id,
+                workspace = rule.name,
+                requestClass = rule.modelClass,
+                service = body.model,
+                route = ROUTE,
+                prefixKey = body.prefixKey,
+                promptTokens = body.promptTokens,
+                generatedTokens = next,
+                deadline = state.context.clock() + minOf(time, state.context.limits.requestTime),
+            )
+        return HeldStream(request, body.fields, body.heldText, next, emptyList(), state.context.clock)
+    }
+
+    private fun launchRun(stream: HeldStream, rule: WorkspaceRule) {
+        val id = stream.request.requestId
+        val former = state.streams.find(id)
+        if (former == null) state.streams.hold(stream) else state.streams.replace(former, stream)
+        val runner = StreamRunner(state.context, state.environment, state.meters, stream)
+        state.scope.launch { runner.run() }.invokeOnCompletion { admission.release(rule) }
+    }
+
+    private fun ApplicationCall.requestId(): RequestId? {
+        val text = request.headers[REQUEST_ID_HEADER] ?: return state.identities.next()
+        return RequestId.parse(text)
+    }
+
+    private suspend fun ApplicationCall.refuse(reason: RefusalReason, detail: String) {
+        state.meters.refused(reason.code)
+        respondProblem(state.problems.refusal(reason, detail))
+    }
+
+    private companion object {
+        const val ROUTE = "POST /v1/chat/completions"
+    }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/RequestLog.kt
@@ -0,0 +1,35 @@
+package org.yuccajunction.entry.serving
+
+import org.slf4j.LoggerFactory
+import org.yuccajunction.control.LogEvent
+import org.yuccajunction.model.Ending
+import org.yuccajunction.model.RequestId
+import org.yuccajunction.routing.AttemptResult
+
+/** Logs the life of requests by their identity; no key and no content of callers. */
+internal object RequestLog {
+    private val logger = LoggerFactory.getLogger(RequestLog::class.java)
+
+    fun ended(id: RequestId, ending: Ending) {
+        logger.info(
+            "{} {} request={} ending={}",
+            LogEvent.REQUEST_ENDED.number,
+            LogEvent.REQUEST_ENDED,
+            id,
+            name(ending),
+        )
+    }
+
+    fun retried(id: RequestId, cause: AttemptResult) {
+        logger.info("{} {} request={} cause={}", LogEvent.ATTEMPT_RETRIED.number, LogEvent.ATTEMPT_RETRIED, id, cause)
+    }
+
+    private fun name(ending: Ending): String =
+        when (ending) {
+            is Ending.Completed -> "completed"
+            is Ending.Refused -> "refused ${ending.reason.code}"
+            is Ending.Failed -> "failed ${ending.status}"
+            is Ending.OutcomeUnknown -> "unknown"
+            is Ending.Moved -> "moved ${ending.successor}"
+        }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingContext.kt
@@ -0,0 +1,33 @@
+package org.yuccajunction.entry.serving
+
+import io.micrometer.core.instrument.MeterRegistry
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.routing.AttemptObservation
+import org.yuccajunction.routing.OpenRequests
+import org.yuccajunction.routing.RoutingTable
+import org.yuccajunction.routing.ServerChooser
+import kotlin.random.Random
+
+/**
+ * What serving callers needs from the rest of the entry.
+ *
+ * @property callerEndpoint where callers reach this entry
+ * @property table reads the newest routing table
+ * @property observe posts what an ended attempt showed to the control thread
+ * @property random used from several threads
+ */
+public class ServingContext(
+    public val self: EntryIncarnation,
+    public val callerEndpoint: Endpoint,
+    public val table: () -> RoutingTable,
+    public val chooser: ServerChooser,
+    public val openRequests: OpenRequests,
+    public val ports: ServingPorts,
+    public val observe: (AttemptObservation) -> Unit,
+    public val clock: () -> MonotonicTime,
+    public val random: Random,
+    public val limits: ServingLimits,
+    public val meters: MeterRegistry,
+)
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingLimits.kt
@@ -0,0 +1,28 @@
+package org.yuccajunction.entry.serving
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Bounds on what callers may ask of one entry; each refusal names the limit that it met.
+ *
+ * @property bodyBytes longest body of a request
+ * @property headerBytes longest header section of a request
+ * @property openRequests requests that the entry holds open at once
+ * @property streamTokens longest answer of a model
+ * @property requestTime longest life of one request
+ * @property resumeGrace how long a stream goes on after its caller's connection broke
+ * @property recordLimit at-most-once records that the entry keeps
+ * @property recordBytes bytes of kept answers of at-most-once records
+ */
+public data class ServingLimits(
+    public val bodyBytes: Int = 2_097_152,
+    public val headerBytes: Int = 16_384,
+    public val openRequests: Int = 1_024,
+    public val streamTokens: Int = 32_768,
+    public val requestTime: Duration = 10.minutes,
+    public val resumeGrace: Duration = 15.seconds,
+    public val recordLimit: Int = 200_000,
+    public val recordBytes: Long = 16_777_216,
+)
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingPeerHandler.kt
@@ -0,0 +1,21 @@
+package org.yuccajunction.entry.serving
+
+import org.yuccajunction.model.RequestId
+import org.yuccajunction.port.ForwardOutcome
+import org.yuccajunction.port.ForwardedCall
+import org.yuccajunction.record.HandOver
+import org.yuccajunction.record.RecordAnswer
+
+/** Answers what other entries ask of this one about requests. */
+public class ServingPeerHandler internal constructor(private val state: ServingState) {
+    /** Runs a call whose home is this entry, or answers from its record. */
+    public suspend fun run(call: ForwardedCall): ForwardOutcome = CallDispatcher(state).run(call, null, null)
+
+    /** Takes over the records and streams of a leaving entry; returns whether they are kept now. */
+    public suspend fun takeOver(handOver: HandOver): Boolean =
+        handOver.streams.isEmpty() && state.handedRecords.take(handOver.from, handOver.records)
+
+    /** Returns what this entry took over of the request [requestId]. */
+    public suspend fun findRecord(requestId: String): RecordAnswer =
+        RequestId.parse(requestId)?.let(state.handedRecords::find) ?: RecordAnswer.Absent
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
@@ -0,0 +1,28 @@
+package org.yuccajunction.entry.serving
+
+import kotlinx.coroutines.CoroutineScope
+import org.yuccajunction.record.HandedRecords
+import org.yuccajunction.traffic.RetryBudget
+import org.yuccajunction.traffic.TrafficEnvironment
+import java.util.concurrent.atomic.AtomicInteger
+
+/** What all requests of one entry share while they are served. */
+internal class ServingState(val context: ServingContext, val scope: CoroutineScope) {
+    val environment =
+        TrafficEnvironment(
+            context.table,
+            context.chooser,
+            context.openRequests,
+            RetryBudget(context.clock()),
+            context.random,
+        )
+    val identities = Identities(context.self, context.clock, context.random)
+    val meters = ServingMeters(context.meters)
+    val problems = Problems(context)
+    val handedRecords = HandedRecords(context.limits.recordLimit)
+    val streams = HeldStreams()
+    val open = AtomicInteger()
+
+    @Volatile
+    var phase: ServingPhase = ServingPhase.SERVING
+}
