Keep at-most-once records at the home of a request

Cause: a non-idempotent call must not run twice when its caller asks again. Not yet: used by the caller server.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -12,9 +12,11 @@
 import org.yuccajunction.membership.EntryState
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.EntryIncarnation
 import org.yuccajunction.model.ServiceKind
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.routing.EntryAddress
+import org.yuccajunction.routing.HomeAddress
 import org.yuccajunction.routing.RoutingTable
 import org.yuccajunction.routing.ServerRecord
 import org.yuccajunction.routing.ServerRoute
@@ -31,6 +33,7 @@
         services = services(board, takenOut),
         workspaces = workspacesByKeyHash(deployment),
         entries = entries(board, takenOut),
+        homes = homes(board),
         leaving = board.membership.self.leaving,
         retryShare = deployment.trafficRules.retryShare,
         addressAnswerSeconds = deployment.trafficRules.addressAnswerSeconds,
@@ -113,5 +116,11 @@
         .toPersistentList()
 }
 
+private fun homes(board: Blackboard): PersistentMap<EntryIncarnation, HomeAddress> {
+    val peers = board.membership.peers.values.map { it.state }
+    val endpoints = (peers + board.membership.self).associate { it.entry to it.peerEndpoint }
+    return peers.associate { it.entry to HomeAddress(it.peerEndpoint, endpoints[it.successor]) }.toPersistentMap()
+}
+
 private fun EntryState.address() =
     EntryAddress(entry, availabilityZone, callerEndpoint, peerEndpoint, load, identityEpoch)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/model/RefusalReason.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/model/RefusalReason.kt
@@ -7,6 +7,8 @@
  *
  * @property code the stable word that problem documents and metrics carry
  * @property status the HTTP status code of the refusal
+ *
+ * A refusal as [HOME_LEFT] says that the request can never be run under its identity, so that a retry takes a new one.
  */
 @Serializable
 public enum class RefusalReason(public val code: String, public val status: Int) {
@@ -19,6 +21,7 @@
     NO_CAPACITY("no-capacity", 503),
     NO_BACKEND_SERVER("no-backend-server", 503),
     ENTRY_LEAVING("entry-leaving", 503),
+    HOME_LEFT("home-left", 503),
     NOT_READY("not-ready", 503),
     STORE_UNAVAILABLE("store-unavailable", 503),
     DEADLINE("deadline", 504),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandedRecords.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandedRecords.kt
@@ -1,26 +1,50 @@
 package org.yuccajunction.record
 
 import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.model.RefusalReason
 import org.yuccajunction.model.RequestId
-import java.util.concurrent.ConcurrentHashMap
+import org.yuccajunction.port.ForwardOutcome
 
-/** The at-most-once records that this entry took over from leaving ones. Safe for use from every thread. */
-public class HandedRecords(private val limit: Int) {
-    private val answers = ConcurrentHashMap<RequestId, RecordAnswer>()
-    private val homes = ConcurrentHashMap.newKeySet<EntryIncarnation>()
+/**
+ * The at-most-once records that this entry took over from leaving ones.
+ *
+ * They answer for requests and never let one run. Safe for use from every thread.
+ */
+public class HandedRecords(private val limits: RecordLimits = RecordLimits()) {
+    private val answers = HashMap<RequestId, RecordAnswer>()
+    private val epochs = HashMap<EntryIncarnation, Long>()
 
-    /** Keeps all [records] of [home], or none where there is no room for them; returns whether it keeps them. */
+    /** Keeps all records of [handOver], or none where there is no room for them; returns whether it keeps them. */
     @Synchronized
-    public fun take(home: EntryIncarnation, records: List<HandedRecord>): Boolean {
-        if (answers.size + records.size > limit) return false
-        records.forEach { answers[it.requestId] = it.answer }
-        homes += home
+    public fun take(handOver: HandOver): Boolean {
+        if (answers.size + handOver.records.size > limits.records) return false
+        handOver.records.forEach { answers[it.requestId] = it.answer }
+        epochs[handOver.from] = handOver.identityEpoch
         return true
     }
 
     /** Returns what is held of [id]. */
+    @Synchronized
     public fun find(id: RequestId): RecordAnswer = answers[id] ?: RecordAnswer.Absent
 
-    /** Returns whether the records of [home] were taken over. */
-    public fun holds(home: EntryIncarnation): Boolean = home in homes
+    /** Returns the final outcome of [id], null where its home's records were not taken over. */
+    @Synchronized
+    public fun outcome(id: RequestId): ForwardOutcome? {
+        val epoch = epochs[id.home] ?: return null
+        return when (val answer = find(id)) {
+            is RecordAnswer.Answered -> ForwardOutcome.Answered(answer.status, answer.headers, answer.body)
+            is RecordAnswer.Unknown -> ForwardOutcome.Unknown(answer.detail)
+            is RecordAnswer.Absent -> absent(id, epoch)
+        }
+    }
+
+    /** All records of the home are here, so that a young identity without one was not run and will not be. */
+    private fun absent(id: RequestId, epoch: Long): ForwardOutcome {
+        if (epoch - id.epoch > limits.firstRunEpochs) return ForwardOutcome.Unknown("the identity is too old")
+        return ForwardOutcome.Refused(RefusalReason.HOME_LEFT, RETRY_AFTER_MILLIS, "the home of the request has left")
+    }
+
+    private companion object {
+        const val RETRY_AFTER_MILLIS = 1_000L
+    }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/RoutingTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/RoutingTable.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.EntryIncarnation
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
 
@@ -17,6 +18,7 @@
  *
  * @property workspaces rules by the SHA-256 of the key, in lower-case hexadecimal
  * @property entries the entries that take new work, this one included while it does
+ * @property homes the other entries that may be home of a request, leaving ones included
  * @property leaving whether this entry has begun its graceful shutdown
  */
 public data class RoutingTable(
@@ -25,6 +27,7 @@
     public val services: PersistentMap<ServiceName, ServiceRoute> = persistentMapOf(),
     public val workspaces: PersistentMap<String, WorkspaceRule> = persistentMapOf(),
     public val entries: PersistentList<EntryAddress> = persistentListOf(),
+    public val homes: PersistentMap<EntryIncarnation, HomeAddress> = persistentMapOf(),
     public val leaving: Boolean = false,
     public val retryShare: Double = 0.1,
     public val addressAnswerSeconds: Long = 5,
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingLimits.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingLimits.kt
@@ -1,5 +1,6 @@
 package org.yuccajunction.entry.serving
 
+import org.yuccajunction.record.RecordLimits
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -13,8 +14,7 @@
  * @property streamTokens longest answer of a model
  * @property requestTime longest life of one request
  * @property resumeGrace how long a stream goes on after its caller's connection broke
- * @property recordLimit at-most-once records that the entry keeps
- * @property recordBytes bytes of kept answers of at-most-once records
+ * @property records bounds on the at-most-once records
  */
 public data class ServingLimits(
     public val bodyBytes: Int = 2_097_152,
@@ -23,6 +23,5 @@
     public val streamTokens: Int = 32_768,
     public val requestTime: Duration = 10.minutes,
     public val resumeGrace: Duration = 15.seconds,
-    public val recordLimit: Int = 200_000,
-    public val recordBytes: Long = 16_777_216,
+    public val records: RecordLimits = RecordLimits(),
 )
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingPeerHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingPeerHandler.kt
@@ -13,7 +13,7 @@
 
     /** Takes over the records and streams of a leaving entry; returns whether they are kept now. */
     public suspend fun takeOver(handOver: HandOver): Boolean =
-        handOver.streams.isEmpty() && state.handedRecords.take(handOver.from, handOver.records)
+        handOver.streams.isEmpty() && state.handedRecords.take(handOver)
 
     /** Returns what this entry took over of the request [requestId]. */
     public suspend fun findRecord(requestId: String): RecordAnswer =
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
@@ -19,7 +19,7 @@
     val identities = Identities(context.self, context.clock, context.random)
     val meters = ServingMeters(context.meters)
     val problems = Problems(context)
-    val handedRecords = HandedRecords(context.limits.recordLimit)
+    val handedRecords = HandedRecords(context.limits.records)
     val streams = HeldStreams()
     val open = AtomicInteger()
 
