--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.yuccajunction.configuration.DeploymentLoader
+import org.yuccajunction.configuration.LoadedDeployment
 import org.yuccajunction.control.ControlCommand
 import org.yuccajunction.control.ControlEvent
 import org.yuccajunction.document.Deployment
@@ -31,16 +32,14 @@
 
     private suspend fun answer(command: ControlCommand): ControlEvent? =
         when (command) {
-            is ControlCommand.SendHeartbeat ->
-                ports.peers.beat(command.to, command.heartbeat)?.let(ControlEvent::HeartbeatReceived)
-            is ControlCommand.PullDeployment ->
-                ports.peers.pullDeployment(command.from)?.let(ControlEvent::DeploymentRead)
+            is ControlCommand.SendHeartbeat -> beat(command)
+            is ControlCommand.PullDeployment -> pull(command)
             is ControlCommand.PollServer -> poll(command)
             is ControlCommand.OrderServer -> order(command)
             is ControlCommand.StartInstance ->
                 ControlEvent.InstanceStarted(command.order, ports.cloud.start(command.order))
             is ControlCommand.StopInstance -> null.also { ports.cloud.stop(command.instance) }
-            is ControlCommand.ListInstances -> ports.instances.read()?.let(ControlEvent::InstancesListed)
+            is ControlCommand.ListInstances -> listInstances()
             is ControlCommand.ReadNotices -> ports.cloud.notices()?.let(ControlEvent::NoticesRead)
             is ControlCommand.Log -> null
             else -> answerFromStore(command)
@@ -48,7 +47,7 @@
 
     private suspend fun answerFromStore(command: ControlCommand): ControlEvent? =
         when (command) {
-            is ControlCommand.ReadDeployment -> loader.load(deployment())?.let(ControlEvent::DeploymentRead)
+            is ControlCommand.ReadDeployment -> readDeployment()
             is ControlCommand.ReadObject -> ControlEvent.ObjectRead(command.key, ports.objects.read(command.key))
             is ControlCommand.WriteObject ->
                 ControlEvent.ObjectWritten(
@@ -65,6 +64,24 @@
             else -> null
         }
 
+    private suspend fun beat(command: ControlCommand.SendHeartbeat): ControlEvent =
+        ports.peers.beat(command.to, command.heartbeat)?.let(ControlEvent::HeartbeatReceived)
+            ?: ControlEvent.HeartbeatUnanswered(command.to)
+
+    private suspend fun pull(command: ControlCommand.PullDeployment): ControlEvent =
+        ports.peers.pullDeployment(command.from)?.let(ControlEvent::DeploymentRead)
+            ?: ControlEvent.PullUnanswered(command.from)
+
+    private suspend fun listInstances(): ControlEvent =
+        ports.instances.read()?.let(ControlEvent::InstancesListed) ?: ControlEvent.InstancesUnavailable
+
+    private suspend fun readDeployment(): ControlEvent =
+        when (val loaded = loader.load(deployment())) {
+            is LoadedDeployment.Loaded -> ControlEvent.DeploymentRead(loaded.deployment)
+            is LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration has been accepted")
+            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(loaded.detail)
+        }
+
     private suspend fun poll(command: ControlCommand.PollServer): ControlEvent =
         ControlEvent.ServerReported(command.server, ports.engine.report(command.endpoint))
 
