--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -23,6 +23,7 @@
 import org.yuccajunction.entry.serving.CallerServer
 import org.yuccajunction.entry.serving.ServingContext
 import org.yuccajunction.entry.serving.ServingLimits
+import org.yuccajunction.entry.serving.ServingPorts
 import org.yuccajunction.membership.EntryState
 import org.yuccajunction.membership.MembershipState
 import org.yuccajunction.model.Endpoint
@@ -138,18 +139,15 @@
             table = { control.table },
             chooser = TwoChoiceServerChooser(),
             openRequests = OpenRequests(),
-            engine = outside.engine,
-            application = outside.application,
-            peers = outside.peers,
-            objects = outside.objects,
+            ports = ServingPorts(outside.engine, outside.application, outside.peers, outside.objects),
             observe = control::observe,
             clock = clock,
             random = random,
             limits =
-                ServingLimits(
-                    bodyBytes = settings.bodyLimitBytes.toInt(),
-                    openRequests = settings.openRequestLimit,
-                ),
+            ServingLimits(
+                bodyBytes = settings.bodyLimitBytes.toInt(),
+                openRequests = settings.openRequestLimit,
+            ),
             meters = meters,
         )
 
--- a/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/EntryCommandLineTest.kt
+++ b/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/EntryCommandLineTest.kt
@@ -14,7 +14,7 @@
 
     @Test
     fun `reports unknown flags and missing values together`() {
-        assertEquals(
+        assertEquals<List<String>?>(
             listOf("--zone: is not a flag of yuccajunction-entry", "--seed: has no value"),
             EntryCommandLine.parse(arrayOf("--zone", "--seed")).leftOrNull()?.map { it.toString() },
         )
