Run calls that are not idempotent only at the home of their identity

Cause: a caller that asks again at another entry must not make a second run. Change: CallDispatcher joins, answers or refuses from the home's record and forwards to the home or its successor; an unreachable home ends as unknown, also where this sending never left (an earlier one may have run), so GrpcPeers no longer says refused there; plain idempotency keys are claimed by a conditional create; places are taken only for first runs, so that a repeated call never gets a false refusal for lack of room. LoadMeasured carries the identity epoch.

--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/peer/GrpcPeers.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/peer/GrpcPeers.kt
@@ -12,7 +12,6 @@
 import org.yuccajunction.document.Deployment
 import org.yuccajunction.membership.Heartbeat
 import org.yuccajunction.model.Endpoint
-import org.yuccajunction.model.RefusalReason
 import org.yuccajunction.port.ForwardOutcome
 import org.yuccajunction.port.ForwardedCall
 import org.yuccajunction.port.Peers
@@ -116,11 +115,6 @@
 
 private fun <A> PeerCallOutcome<A>.answerOrNull(): A? = (this as? PeerCallOutcome.Answered)?.answer
 
+/** Also where this call never left: the home may have run the request for an earlier sending of the caller's. */
 private fun PeerCallOutcome.Failed.toForwardOutcome(): ForwardOutcome =
-    if (sent) {
-        ForwardOutcome.Unknown("no answer from the home of the request: $status")
-    } else {
-        ForwardOutcome.Refused(RefusalReason.NOT_READY, RETRY_AFTER_MILLIS, "home not reached: $status")
-    }
-
-private const val RETRY_AFTER_MILLIS = 1_000L
+    ForwardOutcome.Unknown("no answer from the home of the request: $status")
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
@@ -54,8 +54,12 @@
     /** This entry's instance is to be shut down within [remaining]. */
     public data class ShutdownAnnounced(public val remaining: Duration) : ControlEvent
 
-    /** Traffic threads report this entry's open requests and its limit. */
-    public data class LoadMeasured(public val openRequests: Int, public val limit: Int) : ControlEvent
+    /** Traffic threads report this entry's open requests, its limit and its newest identity epoch. */
+    public data class LoadMeasured(
+        public val openRequests: Int,
+        public val limit: Int,
+        public val identityEpoch: Long = 0,
+    ) : ControlEvent
 
     /** The answer to [ControlCommand.ReadObject]. */
     public data class ObjectRead(public val key: String, public val reading: ObjectReading) : ControlEvent
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ForwardedCall.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ForwardedCall.kt
@@ -6,7 +6,12 @@
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.model.WorkspaceId
 
-/** A call to an application that is handed to the home of its request. */
+/**
+ * A call to an application that is handed to the home of its request.
+ *
+ * @property target path and query as the application gets them
+ * @property deadlineMillis time that the caller gives the request, in milliseconds, null where it did not say
+ */
 @Serializable
 public class ForwardedCall(
     public val requestId: RequestId,
@@ -16,4 +21,5 @@
     public val target: String,
     public val headers: List<Header>,
     public val body: ByteArray,
+    public val deadlineMillis: Long? = null,
 )
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -181,7 +181,8 @@
 
     private suspend fun reportLoad() {
         while (scope.isActive) {
-            control.post(ControlEvent.LoadMeasured(callerServer.openRequests, settings.openRequestLimit))
+            val open = callerServer.openRequests
+            control.post(ControlEvent.LoadMeasured(open, settings.openRequestLimit, callerServer.identityEpoch))
             delay(LOAD_INTERVAL)
         }
     }
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Admission.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Admission.kt
@@ -5,6 +5,7 @@
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.RefusalReason
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /** Checks who calls and whether there is room for one more request. */
 internal class Admission(private val state: ServingState) {
@@ -59,5 +60,8 @@
 private const val BEARER = "Bearer "
 
 /** Returns the SHA-256 of [text] in lower-case hexadecimal. */
-internal fun sha256(text: String): String =
-    MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).joinToString("") { "%02x".format(it) }
+internal fun sha256(text: String): String = sha256(text.toByteArray())
+
+/** Returns the SHA-256 of [bytes] in lower-case hexadecimal. */
+internal fun sha256(bytes: ByteArray): String =
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes))
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallDispatcher.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallDispatcher.kt
@@ -1,18 +1,95 @@
 package org.yuccajunction.entry.serving
 
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
 import org.yuccajunction.document.CallRule
+import org.yuccajunction.model.RefusalReason
 import org.yuccajunction.model.RequestClass
 import org.yuccajunction.port.ForwardOutcome
 import org.yuccajunction.port.ForwardedCall
+import org.yuccajunction.record.RecordBeginning
 import org.yuccajunction.traffic.CallRequest
+import org.yuccajunction.traffic.SilenceBound
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Decides where a call is run: idempotent ones here, others only at the home of their identity. */
-internal class CallDispatcher(private val state: ServingState) {
-    suspend fun run(call: ForwardedCall, rule: CallRule?, deadlineMillis: Long?): ForwardOutcome =
-        runHere(call, rule, deadlineMillis)
+internal class CallDispatcher(private val state: ServingState, private val admission: Admission) {
+    private val context = state.context
 
-    private suspend fun runHere(call: ForwardedCall, rule: CallRule?, deadlineMillis: Long?): ForwardOutcome {
+    /** Runs an idempotent call here. */
+    suspend fun runIdempotent(call: ForwardedCall, rule: CallRule): ForwardOutcome = runner(call, rule, true).run()
+
+    /** Lets the home of a call that is not idempotent run it, at most once. */
+    suspend fun runOnce(call: ForwardedCall): ForwardOutcome =
+        if (call.requestId.home == context.self) runAtHome(call) else runElsewhere(call)
+
+    /** Answers for a call that another entry forwarded; never forwards it again. */
+    suspend fun runForwarded(call: ForwardedCall): ForwardOutcome =
+        if (call.requestId.home == context.self) runAtHome(call) else answerForHome(call)
+
+    private suspend fun runAtHome(call: ForwardedCall): ForwardOutcome {
+        val joined = CompletableDeferred<ForwardOutcome>()
+        val beginning =
+            state.records.begin(call.requestId, call.fingerprint(), state.identities.epoch) { joined.complete(it) }
+        return when (beginning) {
+            is RecordBeginning.Run -> state.scope.async { runRecorded(call) }.await()
+            is RecordBeginning.Join -> joined.await()
+            is RecordBeginning.Known -> beginning.outcome
+            is RecordBeginning.Expired -> ForwardOutcome.Unknown("the identity of the request is too old")
+            is RecordBeginning.Full -> refused(RefusalReason.ENTRY_LIMIT, "the entry keeps no more records")
+            is RecordBeginning.Closed -> refused(RefusalReason.HOME_LEFT, "the home of the request is leaving")
+            is RecordBeginning.Mismatch -> refused(RefusalReason.BAD_REQUEST, "the identity serves another request")
+        }
+    }
+
+    /** Runs the call and records its outcome, whether its caller still waits or not. */
+    private suspend fun runRecorded(call: ForwardedCall): ForwardOutcome {
+        var outcome: ForwardOutcome = ForwardOutcome.Unknown("the call was given up")
+        try {
+            outcome = runWithPlace(call)
+        } finally {
+            state.records.end(call.requestId, outcome)
+        }
+        return outcome
+    }
+
+    private suspend fun runWithPlace(call: ForwardedCall): ForwardOutcome {
+        val workspace =
+            context.table().workspaces.values.firstOrNull { it.name == call.workspace }
+                ?: return refused(RefusalReason.UNKNOWN_KEY, "the workspace is not known here")
+        val refusal = admission.take(workspace)
+        if (refusal != null) return refused(refusal.reason, refusal.detail)
+        try {
+            return runner(call, rule(call), false).run()
+        } finally {
+            admission.release(workspace)
+        }
+    }
+
+    private suspend fun runElsewhere(call: ForwardedCall): ForwardOutcome {
+        val home = context.table().homes[call.requestId.home] ?: return answerForHome(call)
+        val successor = home.successor
+        val first = context.ports.peers.forward(successor ?: home.peerEndpoint, call, forwardTimeout(call))
+        if (first !is ForwardOutcome.Unknown || successor != null) return first
+        val named = context.table().homes[call.requestId.home]?.successor ?: return first
+        return context.ports.peers.forward(named, call, forwardTimeout(call))
+    }
+
+    private fun answerForHome(call: ForwardedCall): ForwardOutcome =
+        state.handedRecords.outcome(call.requestId)
+            ?: ForwardOutcome.Unknown("the home of the request, ${call.requestId.home}, is not known")
+
+    private fun forwardTimeout(call: ForwardedCall): Duration {
+        val service = context.table().services[call.service] ?: return FORWARD_RESERVE
+        return SilenceBound.answer(service) + FORWARD_RESERVE
+    }
+
+    private fun rule(call: ForwardedCall): CallRule? =
+        context.table().services[call.service]?.let { CallPath(call.service, call.target).rule(call.method, it) }
+
+    private fun runner(call: ForwardedCall, rule: CallRule?, idempotent: Boolean): CallRunner {
         val request =
             CallRequest(
                 requestId = call.requestId,
@@ -20,9 +97,23 @@
                 requestClass = rule?.requestClass ?: RequestClass.ORDER,
                 service = call.service,
                 route = rule?.let { "${it.method} ${it.pathPrefix}" } ?: "*",
-                idempotent = rule?.idempotent ?: false,
-                deadline = deadlineMillis?.let { state.context.clock() + it.milliseconds },
+                idempotent = idempotent,
+                deadline = call.deadlineMillis?.let { context.clock() + it.milliseconds },
             )
-        return CallRunner(state.context, state.environment, state.meters, request, call).run()
+        return CallRunner(context, state.environment, state.meters, request, call)
+    }
+
+    private fun refused(reason: RefusalReason, detail: String): ForwardOutcome =
+        ForwardOutcome.Refused(reason, RETRY_AFTER_MILLIS, detail)
+
+    private companion object {
+        const val RETRY_AFTER_MILLIS = 1_000L
+        val FORWARD_RESERVE = 3.seconds
     }
 }
+
+/** Equal for all sendings of one request, and for no other request of any workspace. */
+private fun ForwardedCall.fingerprint(): String =
+    sha256("$workspace\n$service\n$method\n$target\n${sha256(body)}").take(FINGERPRINT_CHARACTERS)
+
+private const val FINGERPRINT_CHARACTERS = 32
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallHandler.kt
@@ -4,6 +4,7 @@
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
+import org.yuccajunction.document.CallRule
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.Ending
 import org.yuccajunction.model.Header
@@ -12,35 +13,82 @@
 import org.yuccajunction.model.RequestId
 import org.yuccajunction.port.ForwardOutcome
 import org.yuccajunction.port.ForwardedCall
-import org.yuccajunction.routing.ServiceRoute
+import org.yuccajunction.record.IdempotencyClaims
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Serves calls below `/apps/`. */
 internal class CallHandler(private val state: ServingState, private val admission: Admission) {
+    private val dispatcher = CallDispatcher(state, admission)
+    private val claims = IdempotencyClaims(state.context.ports.objects)
+
     suspend fun handle(call: ApplicationCall) {
-        val rule = admission.workspace(call) ?: return call.refuse(RefusalReason.UNKNOWN_KEY, "the key is not known")
+        val workspace = admission.workspace(call) ?: return call.refuse(RefusalReason.UNKNOWN_KEY, "no known key")
         val path = CallPath.parse(call.request.uri)
         val service = path?.let { state.context.table().services[it.service] }
         if (path == null || service == null) {
             return call.refuse(RefusalReason.UNKNOWN_SERVICE, "there is no such application")
         }
-        val refusal = admission.withPlace(rule) { serve(call, rule, path, service) }
-        if (refusal != null) call.refuse(refusal.reason, refusal.detail)
+        val rule = path.rule(call.request.httpMethod.value, service)
+        if (rule?.idempotent == true) {
+            val refusal = admission.withPlace(workspace) { serveIdempotent(call, workspace, path, rule) }
+            if (refusal != null) call.refuse(refusal.reason, refusal.detail)
+        } else {
+            serveOnce(call, workspace, path)
+        }
     }
 
-    private suspend fun serve(call: ApplicationCall, rule: WorkspaceRule, path: CallPath, service: ServiceRoute) {
-        val limit = state.context.limits.bodyBytes
-        val body =
-            call.readBody(limit)
-                ?: return call.refuse(RefusalReason.TOO_LARGE, "the body is longer than $limit bytes")
+    private suspend fun serveIdempotent(
+        call: ApplicationCall,
+        workspace: WorkspaceRule,
+        path: CallPath,
+        rule: CallRule,
+    ) {
         val id = call.requestId() ?: return call.refuse(RefusalReason.BAD_REQUEST, "the request identity is unreadable")
+        val forwarded = forwarded(call, workspace, path, id) ?: return
+        call.respondOutcome(id, dispatcher.runIdempotent(forwarded, rule))
+    }
+
+    private suspend fun serveOnce(call: ApplicationCall, workspace: WorkspaceRule, path: CallPath) {
+        val id = call.identityOfSingleRun(workspace, path) ?: return
+        val forwarded = forwarded(call, workspace, path, id) ?: return
+        call.respondOutcome(id, dispatcher.runOnce(forwarded))
+    }
+
+    /** Returns the identity under which a call that is not idempotent runs, null where the caller has its refusal. */
+    private suspend fun ApplicationCall.identityOfSingleRun(workspace: WorkspaceRule, path: CallPath): RequestId? {
+        val key = request.headers[IDEMPOTENCY_KEY_HEADER]
+        if (request.headers[REQUEST_ID_HEADER] != null || key == null) {
+            return requestId() ?: null.also { refuse(RefusalReason.BAD_REQUEST, "the request identity is unreadable") }
+        }
+        val digest = sha256("${workspace.name}\n${path.service}\n$key")
+        return claims.claim(digest, state.identities.next())
+            ?: null.also { refuse(RefusalReason.STORE_UNAVAILABLE, "the idempotency key can't be claimed now") }
+    }
+
+    private suspend fun forwarded(
+        call: ApplicationCall,
+        workspace: WorkspaceRule,
+        path: CallPath,
+        id: RequestId,
+    ): ForwardedCall? {
+        val limit = state.context.limits.bodyBytes
+        val body = call.readBody(limit)
+        if (body == null) {
+            call.refuse(RefusalReason.TOO_LARGE, "the body is longer than $limit bytes")
+            return null
+        }
         val method = call.request.httpMethod.value
-        val forwarded =
-            ForwardedCall(id, rule.name, service.name, method, path.target, call.endToEndHeaders(), body)
-        val covering = path.rule(method, service)
-        val outcome = CallDispatcher(state).run(forwarded, covering, call.deadlineMillis())
-        call.response.header(REQUEST_ID_HEADER, id.toString())
-        call.respondOutcome(outcome)
+        val headers = call.endToEndHeaders()
+        return ForwardedCall(
+            id,
+            workspace.name,
+            path.service,
+            method,
+            path.target,
+            headers,
+            body,
+            call.deadlineMillis(),
+        )
     }
 
     private fun ApplicationCall.requestId(): RequestId? {
@@ -48,12 +96,14 @@
         return RequestId.parse(text)
     }
 
-    private suspend fun ApplicationCall.respondOutcome(outcome: ForwardOutcome) =
+    private suspend fun ApplicationCall.respondOutcome(id: RequestId, outcome: ForwardOutcome) {
+        response.header(REQUEST_ID_HEADER, id.toString())
         when (outcome) {
             is ForwardOutcome.Answered -> respondAnswer(outcome.status, outcome.headers, outcome.body)
             is ForwardOutcome.Refused -> refuse(outcome.reason, outcome.detail, outcome.retryAfterMillis)
             is ForwardOutcome.Unknown -> respondProblem(state.problems.of(Ending.OutcomeUnknown(outcome.detail)))
         }
+    }
 
     private suspend fun ApplicationCall.refuse(reason: RefusalReason, detail: String, retryAfterMillis: Long = 1_000) {
         state.meters.refused(reason.code)
@@ -61,6 +111,8 @@
     }
 }
 
+private const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+
 private val DROPPED_HEADERS =
     setOf(
         "connection",
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Problems.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Problems.kt
@@ -29,6 +29,7 @@
             outcome = "refused",
             retryAfterSeconds = retryAfter.wholeSeconds(),
             entries = otherEntries(),
+            identityRetired = reason == RefusalReason.HOME_LEFT,
         )
 
     private fun failure(ending: Ending.Failed): ProblemDocument =
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingPeerHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingPeerHandler.kt
@@ -9,7 +9,9 @@
 /** Answers what other entries ask of this one about requests. */
 public class ServingPeerHandler internal constructor(private val state: ServingState) {
     /** Runs a call whose home is this entry, or answers from its record. */
-    public suspend fun run(call: ForwardedCall): ForwardOutcome = CallDispatcher(state).run(call, null, null)
+    public suspend fun run(
+        call: ForwardedCall,
+    ): ForwardOutcome = CallDispatcher(state, Admission(state)).runForwarded(call)
 
     /** Takes over the records and streams of a leaving entry; returns whether they are kept now. */
     public suspend fun takeOver(handOver: HandOver): Boolean =
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import org.yuccajunction.record.HandedRecords
+import org.yuccajunction.record.RecordTable
 import org.yuccajunction.traffic.RetryBudget
 import org.yuccajunction.traffic.TrafficEnvironment
 import java.util.concurrent.atomic.AtomicInteger
@@ -19,6 +20,7 @@
     val identities = Identities(context.self, context.clock, context.random)
     val meters = ServingMeters(context.meters)
     val problems = Problems(context)
+    val records = RecordTable(context.self, context.limits.records)
     val handedRecords = HandedRecords(context.limits.records)
     val streams = HeldStreams()
     val open = AtomicInteger()
