Shut an entry down without cutting a request off, and resume its streams at a successor

Change: GracefulShutdown (unnamed, then refusing, then handing over), streams frozen while they are handed on, moved events, HandOver in parts of bounded length, HandedRecords answering for the home that left; StreamLauncher for new and handed streams.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandOver.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandOver.kt
@@ -4,9 +4,10 @@
 import org.yuccajunction.model.EntryIncarnation
 
 /**
- * What a leaving entry hands to its successor.
+ * What a leaving entry hands to its successor, in one or more parts.
  *
- * @property records every at-most-once record of [from], which takes no first runs any more
+ * @property records at-most-once records of [from], which takes no first runs any more
+ * @property isLast whether all records of [from] have been handed with this part and those before it
  * @property identityEpoch the newest identity epoch of [from]
  */
 @Serializable
@@ -15,4 +16,5 @@
     public val records: List<HandedRecord> = emptyList(),
     public val streams: List<HandedStream> = emptyList(),
     public val identityEpoch: Long = 0,
+    public val isLast: Boolean = true,
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandedRecords.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/record/HandedRecords.kt
@@ -19,7 +19,7 @@
     public fun take(handOver: HandOver): Boolean {
         if (answers.size + handOver.records.size > limits.records) return false
         handOver.records.forEach { answers[it.requestId] = it.answer }
-        epochs[handOver.from] = handOver.identityEpoch
+        if (handOver.isLast) epochs[handOver.from] = handOver.identityEpoch
         return true
     }
 
@@ -27,7 +27,7 @@
     @Synchronized
     public fun find(id: RequestId): RecordAnswer = answers[id] ?: RecordAnswer.Absent
 
-    /** Returns the final outcome of [id], null where its home's records were not taken over. */
+    /** Returns the final outcome of [id], null where not all records of its home were taken over. */
     @Synchronized
     public fun outcome(id: RequestId): ForwardOutcome? {
         val epoch = epochs[id.home] ?: return null
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Admission.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Admission.kt
@@ -4,6 +4,7 @@
 import io.ktor.server.application.ApplicationCall
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.RefusalReason
+import org.yuccajunction.model.WorkspaceId
 import java.security.MessageDigest
 import java.util.HexFormat
 
@@ -50,9 +51,18 @@
         return null
     }
 
+    /** Takes one place beyond every limit, for a request that another entry has accepted. */
+    fun takeAccepted(workspace: WorkspaceId) {
+        state.open.incrementAndGet()
+        state.context.openRequests.tryAcquire(workspace, Int.MAX_VALUE)
+    }
+
     /** Returns what [take] took. */
-    fun release(rule: WorkspaceRule) {
-        state.context.openRequests.release(rule.name)
+    fun release(rule: WorkspaceRule) = release(rule.name)
+
+    /** Returns what [take] or [takeAccepted] took. */
+    fun release(workspace: WorkspaceId) {
+        state.context.openRequests.release(workspace)
         state.open.decrementAndGet()
     }
 }
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallerServer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallerServer.kt
@@ -16,9 +16,11 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.EntryIncarnation
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Serves callers on one endpoint: the address answer, models and applications. */
 public class CallerServer(private val endpoint: Endpoint, private val context: ServingContext) {
@@ -43,18 +45,19 @@
     /** Begins to listen; fails where the endpoint is taken. */
     public fun start() {
         server.start(wait = false)
+        scope.launch { dropUnreadStreams() }
     }
 
-    /** Finishes open requests within [remaining], while new ones are taken only as long as old address answers last. */
-    public suspend fun drain(remaining: Duration) {
-        state.phase = ServingPhase.UNNAMED
-        delay(minOf(remaining / 2, (context.table().addressAnswerSeconds * MILLIS_PER_SECOND).milliseconds))
-        state.phase = ServingPhase.FINISHING
-    }
+    /**
+     * Finishes open requests within [remaining] and hands the rest to another entry.
+     *
+     * Returns the entry that has taken over this one's records, null where none has.
+     */
+    public suspend fun drain(remaining: Duration): EntryIncarnation? = GracefulShutdown(state).run(remaining)
 
     /** Closes the endpoint and ends what is still open. */
     public fun stop() {
-        server.stop(0, STOP_TIMEOUT_MILLIS)
+        server.stop(STOP_GRACE_MILLIS, STOP_TIMEOUT_MILLIS)
         scope.cancel()
     }
 
@@ -72,8 +75,24 @@
     private fun Application.routes() {
         routing {
             get("/v1/entries") { addresses.handle(call) }
-            post("/v1/chat/completions") { completions.handle(call) }
-            route("/apps/{application}/{path...}") { handle { calls.handle(call) } }
+            post("/v1/chat/completions") { answering { completions.handle(call) } }
+            route("/apps/{application}/{path...}") { handle { answering { calls.handle(call) } } }
+        }
+    }
+
+    private suspend fun answering(answer: suspend () -> Unit) {
+        state.answering.incrementAndGet()
+        try {
+            answer()
+        } finally {
+            state.answering.decrementAndGet()
+        }
+    }
+
+    private suspend fun dropUnreadStreams() {
+        while (true) {
+            delay(DROP_INTERVAL)
+            state.streams.dropUnread(context.limits.resumeGrace, context.clock())
         }
     }
 
@@ -83,7 +102,8 @@
         const val CALL_THREADS = 4
         const val LINE_BYTES = 8_192
         const val CHUNK_BYTES = 8_192
+        const val STOP_GRACE_MILLIS = 100L
         const val STOP_TIMEOUT_MILLIS = 1_000L
-        const val MILLIS_PER_SECOND = 1_000L
+        val DROP_INTERVAL = 1.seconds
     }
 }
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionHandler.kt
@@ -2,7 +2,6 @@
 
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.response.header
-import kotlinx.coroutines.launch
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.RefusalReason
 import org.yuccajunction.model.RequestId
@@ -11,6 +10,7 @@
 
 /** Serves `POST /v1/chat/completions`. */
 internal class CompletionHandler(private val state: ServingState, private val admission: Admission) {
+    private val launcher = StreamLauncher(state, admission)
     private val responses = CompletionResponses(state)
 
     suspend fun handle(call: ApplicationCall) {
@@ -57,7 +57,7 @@
             return null
         }
         val stream = held(call, rule, body, id, next)
-        launchRun(stream, rule)
+        launch(stream)
         return stream
     }
 
@@ -75,7 +75,7 @@
                 workspace = rule.name,
                 requestClass = rule.modelClass,
                 service = body.model,
-                route = ROUTE,
+                route = COMPLETIONS_ROUTE,
                 prefixKey = body.prefixKey,
                 promptTokens = body.promptTokens,
                 generatedTokens = next,
@@ -84,12 +84,11 @@
         return HeldStream(request, body.fields, body.heldText, next, emptyList(), state.context.clock)
     }
 
-    private fun launchRun(stream: HeldStream, rule: WorkspaceRule) {
+    private fun launch(stream: HeldStream) {
         val id = stream.request.requestId
         val former = state.streams.find(id)
         if (former == null) state.streams.hold(stream) else state.streams.replace(former, stream)
-        val runner = StreamRunner(state.context, state.environment, state.meters, stream)
-        state.scope.launch { runner.run() }.invokeOnCompletion { admission.release(rule) }
+        launcher.launch(stream)
     }
 
     private fun ApplicationCall.requestId(): RequestId? {
@@ -101,8 +100,4 @@
         state.meters.refused(reason.code)
         respondProblem(state.problems.refusal(reason, detail))
     }
-
-    private companion object {
-        const val ROUTE = "POST /v1/chat/completions"
-    }
 }
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/HeldStream.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/HeldStream.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.serialization.json.JsonObject
+import org.yuccajunction.model.Ending
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.record.HandedStream
 import org.yuccajunction.traffic.StreamRequest
@@ -67,6 +68,9 @@
         visible.value = visible.value.copy(end = end)
     }
 
+    /** Whether the stream goes on at another entry. */
+    val isHandedOver: Boolean get() = visible.value.end?.ending is Ending.Moved
+
     @Synchronized
     fun openReader() {
         readers += 1
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/HeldStreams.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/HeldStreams.kt
@@ -20,6 +20,9 @@
 
     fun running(): List<HeldStream> = streams.values.filter { it.newest().end == null }
 
+    /** Whether a caller still reads one of the streams. */
+    fun areRead(): Boolean = streams.values.any { it.unreadSince() == null }
+
     /** Drops the ended streams that no caller has read for [grace]. */
     fun dropUnread(grace: Duration, now: MonotonicTime) {
         streams.values.removeIf { stream -> stream.newest().end != null && stream.isUnread(grace, now) }
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
@@ -23,8 +23,13 @@
     val records = RecordTable(context.self, context.limits.records)
     val handedRecords = HandedRecords(context.limits.records)
     val streams = HeldStreams()
+
+    /** Runs that hold a place of this entry. */
     val open = AtomicInteger()
 
+    /** Requests of callers whose answers are not sent yet. */
+    val answering = AtomicInteger()
+
     @Volatile
     var phase: ServingPhase = ServingPhase.SERVING
 }
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/StreamLauncher.kt
@@ -0,0 +1,50 @@
+package org.yuccajunction.entry.serving
+
+import kotlinx.coroutines.launch
+import org.yuccajunction.model.Ending
+import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.record.HandedStream
+import org.yuccajunction.traffic.StreamRequest
+
+/** Starts the runs of held streams. */
+internal class StreamLauncher(private val state: ServingState, private val admission: Admission) {
+    /** Runs [stream], for which a place has been taken; the place is returned at its end. */
+    fun launch(stream: HeldStream) {
+        val workspace: WorkspaceId = stream.request.workspace
+        val runner = StreamRunner(state.context, state.environment, state.meters, stream)
+        state.scope.launch { runner.run() }.invokeOnCompletion {
+            stream.end(StreamEnd(Ending.Failed(INTERNAL_ERROR, "the run of the request has failed")))
+            admission.release(workspace)
+        }
+    }
+
+    /** Goes on with a stream that a leaving entry handed over; returns false where it can't be read. */
+    fun takeOver(handed: HandedStream): Boolean {
+        val body = CompletionBody.parse(handed.body.toByteArray()) ?: return false
+        val request =
+            StreamRequest(
+                requestId = handed.requestId,
+                workspace = handed.workspace,
+                requestClass = handed.requestClass,
+                service = handed.service,
+                route = COMPLETIONS_ROUTE,
+                prefixKey = body.prefixKey,
+                promptTokens = body.promptTokens,
+                generatedTokens = handed.baseTokens + handed.tokens.size,
+                deadline = state.context.clock() + state.context.limits.requestTime,
+            )
+        val context = state.context
+        val stream =
+            HeldStream(request, body.fields, handed.baseText, handed.baseTokens, handed.tokens, context.clock)
+        if (state.streams.hold(stream) != null) return true
+        admission.takeAccepted(handed.workspace)
+        state.meters.resumed("handed")
+        launch(stream)
+        return true
+    }
+}
+
+private const val INTERNAL_ERROR = 500
+
+/** Names model requests in observations. */
+internal const val COMPLETIONS_ROUTE = "POST /v1/chat/completions"
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/StreamRunner.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/StreamRunner.kt
@@ -49,6 +49,7 @@
     }
 
     private fun timeEvent(): RequestEvent {
+        if (stream.isHandedOver) return RequestEvent.HandedOver
         val unreadSince = stream.unreadSince() ?: return RequestEvent.Ticked
         val left = context.clock() - unreadSince >= context.limits.resumeGrace
         return if (left) RequestEvent.CallerLeft else RequestEvent.Ticked
@@ -57,6 +58,7 @@
     private fun CoroutineScope.perform(event: RequestEvent) {
         val commands = machine.handle(event, context.clock())
         commands.forEach { perform(it) }
+        if (event == RequestEvent.HandedOver) ended = true
     }
 
     private fun CoroutineScope.perform(command: RequestCommand) {
