--- a/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/application/ApplicationState.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/application/ApplicationState.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.testing.application
 
 import org.yuccajunction.testing.ServerLoad
+import org.yuccajunction.testing.standInJson
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Everything that the application stand-in keeps. */
@@ -30,9 +31,12 @@
         return ((number + 1) * failShare).toLong() > (number * failShare).toLong()
     }
 
+    /** Keeps [row] and prints it, so that it outlives the process. */
     @Synchronized
     fun run(row: ApplicationLedgerRow) {
         rows += row
+        println("ran " + standInJson.encodeToString(ApplicationLedgerRow.serializer(), row))
+        System.out.flush()
     }
 
     @Synchronized
