--- a/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/proxy/FaultProxyMain.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/proxy/FaultProxyMain.kt
@@ -62,7 +62,7 @@
             respond(HttpStatusCode.OK)
         }
 
-    private suspend fun RoutingCall.onRoute(action: suspend (ProxyRoute) -> Unit) {
+    private suspend fun RoutingCall.onRoute(action: suspend RoutingCall.(ProxyRoute) -> Unit) {
         val route = routes[parameters["port"]?.toIntOrNull()]
         if (route == null) respond(HttpStatusCode.NotFound) else action(route)
     }
