--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/RunningDeployment.kt
@@ -0,0 +1,119 @@
+package org.yuccajunction.integration
+
+import org.yuccajunction.configuration.DeploymentHead
+import org.yuccajunction.configuration.ObjectKeys
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.model.Revision
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Starts what [configure] asks for and waits until every entry is ready. */
+fun deployment(configure: DeploymentPlan.() -> Unit): RunningDeployment {
+    val plan = DeploymentPlan().apply(configure)
+    if (plan.workspaces.isEmpty()) plan.workspace("nile")
+    val running = RunningDeployment(plan)
+    try {
+        running.start()
+    } catch (exception: Exception) {
+        running.close()
+        throw exception
+    }
+    return running
+}
+
+/** Platform, backend servers and entries as processes, which end with this object. */
+class RunningDeployment(val plan: DeploymentPlan) : AutoCloseable {
+    private val processes = Processes()
+    private val starter = Starter(plan, processes)
+    private var revision = Revision.NONE
+
+    /** The configuration last written by [apply]. */
+    var deployment: Deployment = plan.toDeployment()
+        private set
+
+    val entries = CopyOnWriteArrayList<EntryHandle>()
+    val models = CopyOnWriteArrayList<ModelEngineHandle>()
+    val applications = CopyOnWriteArrayList<ApplicationHandle>()
+    val platform: PlatformHandle get() = starter.platform
+    val proxy: ProxyHandle get() = starter.proxy
+
+    /** Key of the first workspace. */
+    val key: String get() = plan.workspaces.first().key
+
+    fun start() {
+        starter.startCommon()
+        apply(deployment)
+        val modelJobs = plan.models.flatMap { model ->
+            List(model.replicas) { index -> Job { models += starter.startModel(model, index) } }
+        }
+        val applicationJobs = plan.applications.flatMap { application ->
+            List(application.replicas) { index -> Job { applications += starter.startApplication(application, index) } }
+        }
+        val entryJobs = List(plan.entryCount) { index -> Job { entries += starter.startEntry(index + 1) } }
+        Job.all(modelJobs + applicationJobs + entryJobs)
+        models.sortBy { it.id }
+        applications.sortBy { it.id }
+        entries.sortBy { it.id }
+        awaitReady()
+    }
+
+    /** Servers of the model [name]. */
+    fun models(name: String): List<ModelEngineHandle> = models.filter { it.instance.service?.value == name }
+
+    /** Servers of the application [name]. */
+    fun applications(name: String): List<ApplicationHandle> =
+        applications.filter { it.instance.service?.value == name }
+
+    /** Starts one more replica of a model; its plan may name another version. */
+    fun addModel(model: ModelPlan, availabilityZone: String? = null): ModelEngineHandle {
+        val index = models(model.name).size
+        return starter.startModel(model, index, availabilityZone).also { models += it }
+    }
+
+    /** Starts one more replica of an application. */
+    fun addApplication(application: ApplicationPlan, availabilityZone: String? = null): ApplicationHandle {
+        val index = applications(application.name).size
+        return starter.startApplication(application, index, availabilityZone).also { applications += it }
+    }
+
+    /** Starts one more entry. */
+    fun addEntry(): EntryHandle = starter.startEntry(entries.size + 1).also { entries += it }
+
+    /** Starts an entry anew under the identity of [former], which has ended. */
+    fun restart(former: EntryHandle): EntryHandle {
+        val number = former.id.substringAfterLast('-').toInt()
+        return starter.startEntry(number).also { entries[entries.indexOf(former)] = it }
+    }
+
+    /** Writes [changed] as the next accepted configuration, past every check, and returns its revision. */
+    fun apply(changed: Deployment): Revision {
+        val keys = changed.sectionTexts().mapValues { (name, text) ->
+            val key = ObjectKeys.section(name, sha256(text))
+            if (platform.readObject(key) == null) platform.writeObject(key, text)
+            key
+        }
+        revision = revision.next()
+        val head = DeploymentHead(revision, "harness-$revision", keys)
+        platform.writeObject(ObjectKeys.DEPLOYMENT_HEAD, harnessJson.encodeToString(DeploymentHead.serializer(), head))
+        deployment = changed.copy(revision = revision)
+        return revision
+    }
+
+    /** Writes the deployment that [change] makes of the last one. */
+    fun change(change: (Deployment) -> Deployment): Revision = apply(change(deployment))
+
+    /** Waits until every entry has [expected] in force and knows every server and every other entry. */
+    fun awaitReady(expected: Revision = revision, within: Duration = 15.seconds) {
+        val serverCount = models.size + applications.size
+        entries.filter { it.process.isAlive }.forEach { entry ->
+            eventually(within, { "${entry.id}: ${entry.stateOrNull()}\n${entry.process.lines.takeLast(20)}" }) {
+                val state = entry.stateOrNull()
+                entry.isReady() && state != null && state.revision >= expected &&
+                    state.servers.size >= serverCount && state.peers.size >= entries.size - 1
+            }
+        }
+    }
+
+    override fun close() = processes.close()
+}
