--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/FaultProxyIT.kt
@@ -0,0 +1,104 @@
+package org.yuccajunction.integration
+
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.testing.proxy.ProxyFaults
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
+import java.net.SocketTimeoutException
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
+import kotlin.time.measureTime
+
+class FaultProxyIT {
+    private val processes = Processes()
+    private val echo = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val route: RouteHandle
+
+    init {
+        thread(isDaemon = true) { acceptAll() }
+        val process = processes.start("proxy", "org.yuccajunction.testing.proxy.FaultProxyMain", emptyList())
+        val control = checkNotNull(Endpoint.parse(process.awaitLine("listening ")))
+        route = ProxyHandle(process, control).route(Endpoint("127.0.0.1", echo.localPort))
+    }
+
+    private fun acceptAll() {
+        try {
+            while (true) serve(echo.accept())
+        } catch (_: SocketException) {
+            return
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        thread(isDaemon = true) { socket.use { it.getInputStream().copyTo(it.getOutputStream()) } }
+    }
+
+    private fun connect() = Socket(route.endpoint.host, route.endpoint.port).also { it.soTimeout = 2_000 }
+
+    private fun Socket.ask(text: String): String {
+        getOutputStream().write(text.toByteArray())
+        return String(getInputStream().readNBytes(text.length))
+    }
+
+    @AfterTest
+    fun end() {
+        processes.close()
+        echo.close()
+    }
+
+    @Test
+    fun `data passes in both directions and the end is passed on`() {
+        connect().use { socket ->
+            assertEquals("hello", socket.ask("hello"))
+            socket.shutdownOutput()
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    @Test
+    fun `a connection is cut after an exact number of bytes`() {
+        route.faults(ProxyFaults(cutAfterBytesToClient = 3, remainingCuts = 1))
+        connect().use { assertEquals("hel", it.ask("hello")) }
+        connect().use { assertEquals("hello", it.ask("hello")) }
+    }
+
+    @Test
+    fun `an existing connection goes silent while a new one works`() {
+        val first = connect()
+        assertEquals("a", first.ask("a"))
+        route.silence()
+        assertFailsWith<SocketTimeoutException> { first.ask("b") }
+        connect().use { assertEquals("c", it.ask("c")) }
+        first.close()
+    }
+
+    @Test
+    fun `a reset is seen as one`() {
+        val socket = connect()
+        assertEquals("a", socket.ask("a"))
+        route.cut(reset = true)
+        assertFailsWith<SocketException> { socket.ask("b") }
+        socket.close()
+    }
+
+    @Test
+    fun `a delay holds data back in each direction`() {
+        route.faults(ProxyFaults(delayMillis = 50.0))
+        connect().use { socket ->
+            val time = measureTime { socket.ask("hello") }
+            assertTrue(time.inWholeMilliseconds >= 100, "$time")
+        }
+    }
+
+    @Test
+    fun `one direction alone can be cut`() {
+        route.faults(ProxyFaults(dropToClient = true))
+        connect().use { assertFailsWith<SocketTimeoutException> { it.ask("hello") } }
+    }
+}
