--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/StreamEvents.kt
@@ -0,0 +1,85 @@
+package org.yuccajunction.integration
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import java.io.IOException
+import java.util.stream.Stream
+
+/** What one response with server-sent events brought, up to its end or break. */
+class StreamEvents {
+    private val text = StringBuilder()
+    private var name: String? = null
+    private var id: String? = null
+    private var data: String? = null
+
+    /** Offsets of the tokens, in the order in which they came. */
+    val offsets = mutableListOf<Int>()
+
+    /** Identity of the last whole event. */
+    var lastEventId: String? = null
+        private set
+    var isDone = false
+        private set
+
+    /** Address of the successor, where the stream was moved. */
+    var movedTo: String? = null
+        private set
+
+    /** The problem document, where the stream ended with one. */
+    var problem: JsonObject? = null
+        private set
+
+    /** How the connection broke, null where it ended in order. */
+    var breakage: String? = null
+        private set
+    val content: String get() = text.toString()
+
+    /** Reads [lines] to their end, calling [onToken] after each token. */
+    fun read(lines: Stream<String>, onToken: (StreamEvents) -> Unit) {
+        try {
+            lines.forEach { line -> if (line.isEmpty()) dispatch(onToken) else field(line) }
+        } catch (exception: java.io.UncheckedIOException) {
+            breakage = exception.toString()
+        } catch (exception: IOException) {
+            breakage = exception.toString()
+        }
+    }
+
+    private fun field(line: String) {
+        val value = line.substringAfter(':').removePrefix(" ")
+        when (line.substringBefore(':')) {
+            "event" -> name = value
+            "id" -> id = value
+            "data" -> data = value
+        }
+    }
+
+    private fun dispatch(onToken: (StreamEvents) -> Unit) {
+        val body = data ?: return
+        lastEventId = id ?: lastEventId
+        when {
+            name == "moved" -> movedTo = body.asObject()["entry"]?.jsonPrimitive?.contentOrNull
+            name == "error" -> problem = body.asObject()
+            body == "[DONE]" -> isDone = true
+            else -> chunk(body.asObject(), onToken)
+        }
+        name = null
+        id = null
+        data = null
+    }
+
+    private fun chunk(chunk: JsonObject, onToken: (StreamEvents) -> Unit) {
+        val choice = chunk["choices"]?.jsonArray?.firstOrNull()?.jsonObject ?: return
+        val token = (choice["delta"]?.jsonObject?.get("content") as? JsonPrimitive)?.contentOrNull ?: return
+        text.append(token)
+        choice["token_offset"]?.jsonPrimitive?.int?.let { offsets += it }
+        onToken(this)
+    }
+
+    private fun String.asObject(): JsonObject = harnessJson.parseToJsonElement(this).jsonObject
+}
--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/TestCaller.kt
@@ -0,0 +1,154 @@
+package org.yuccajunction.integration
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.yuccajunction.model.Endpoint
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import java.util.stream.Stream
+
+/** A chat completion that a test asks for. */
+data class DraftOrder(val prompt: String, val tokens: Int, val model: String = "talker-llm")
+
+/**
+ * What one attempt to get a stream brought.
+ *
+ * @property status the HTTP status, 0 where none came
+ */
+class DraftAttempt(val status: Int, val events: StreamEvents, val problem: JsonObject?, val breakage: String?) {
+    val isWhole: Boolean get() = status == 200 && events.isDone
+
+    /** Whether the answer says that nothing was run. */
+    val isNotRun: Boolean get() = problem.isNotRun()
+}
+
+/** What one call to an application brought; [status] is 0 where no answer came. */
+class CallAttempt(val status: Int, val body: String, val requestId: String?, val problem: JsonObject?) {
+    val isNotRun: Boolean get() = problem.isNotRun()
+
+    /** `refused`, `failed` or `unknown`, null where the answer is the application's own. */
+    val outcome: String? get() = problem?.get("outcome")?.jsonPrimitive?.contentOrNull
+}
+
+private fun JsonObject?.isNotRun(): Boolean = (this?.get("notRun") as? JsonPrimitive)?.booleanOrNull == true
+
+/** A caller that makes single attempts at entries that the test chooses, on connections of its own. */
+class TestCaller(private val key: String, private val timeout: Duration = Duration.ofSeconds(30)) {
+    private val client: HttpClient =
+        HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(2)).build()
+
+    /**
+     * Asks [entry] for a stream and reads it to its end.
+     *
+     * @param lastEventId last event of an earlier attempt, from which to go on, with [held] as the text up to it
+     */
+    fun draft(
+        entry: Endpoint,
+        order: DraftOrder,
+        requestId: String? = null,
+        lastEventId: String? = null,
+        held: String = "",
+        onToken: (StreamEvents) -> Unit = {},
+    ): DraftAttempt {
+        val headers = listOfNotNull(
+            requestId?.let { "X-Request-Id" to it },
+            lastEventId?.let { "Last-Event-ID" to it },
+        ).toMap()
+        val request = request(entry, "POST", "/v1/chat/completions", body(order, held), headers)
+        val events = StreamEvents()
+        return try {
+            val response = client.send(request, HttpResponse.BodyHandlers.ofLines())
+            readDraft(response, events, onToken)
+        } catch (exception: IOException) {
+            DraftAttempt(0, events, null, exception.toString())
+        }
+    }
+
+    /** Calls [target] of the application [service] at [entry]. */
+    fun call(
+        entry: Endpoint,
+        service: String,
+        method: String,
+        target: String,
+        body: String = "",
+        headers: Map<String, String> = emptyMap(),
+    ): CallAttempt {
+        val request = request(entry, method, "/apps/$service$target", body, headers)
+        return try {
+            val response = client.send(request, HttpResponse.BodyHandlers.ofString())
+            val id = response.headers().firstValue("X-Request-Id").orElse(null)
+            CallAttempt(response.statusCode(), response.body(), id, problem(response, response.body()))
+        } catch (exception: IOException) {
+            CallAttempt(0, exception.toString(), null, null)
+        }
+    }
+
+    private fun readDraft(
+        response: HttpResponse<Stream<String>>,
+        events: StreamEvents,
+        onToken: (StreamEvents) -> Unit,
+    ): DraftAttempt {
+        if (response.statusCode() != 200) {
+            val text = response.body().toList().joinToString("\n")
+            return DraftAttempt(response.statusCode(), events, problem(response, text), null)
+        }
+        response.body().use { events.read(it, onToken) }
+        return DraftAttempt(200, events, events.problem, events.breakage)
+    }
+
+    private fun problem(response: HttpResponse<*>, text: String): JsonObject? {
+        val type = response.headers().firstValue("Content-Type").orElse("")
+        if ("problem+json" !in type) return null
+        return harnessJson.decodeFromString(JsonObject.serializer(), text)
+    }
+
+    private fun request(
+        entry: Endpoint,
+        method: String,
+        target: String,
+        body: String,
+        headers: Map<String, String>,
+    ): HttpRequest {
+        val builder = HttpRequest.newBuilder(URI("http://$entry$target"))
+            .timeout(timeout)
+            .header("Authorization", "Bearer $key")
+            .header("Content-Type", "application/json")
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+        headers.forEach { (name, value) -> builder.header(name, value) }
+        return builder.build()
+    }
+
+    private fun body(order: DraftOrder, held: String): String =
+        buildJsonObject {
+            put("model", order.model)
+            put("stream", true)
+            put("max_tokens", order.tokens)
+            putJsonArray("messages") {
+                addJsonObject {
+                    put("role", "user")
+                    put("content", order.prompt)
+                }
+                if (held.isNotEmpty()) {
+                    addJsonObject {
+                        put("role", "assistant")
+                        put("content", held)
+                    }
+                }
+            }
+            if (held.isNotEmpty()) {
+                put("continue_final_message", true)
+                put("add_generation_prompt", false)
+            }
+        }.toString()
+}
