Hold the sum of all entries' shares of a backend server

Cause: an even split by the number of entries gives each entry a permit at a server in cold start, and a lagging list gives two entries the same part. Change: each server is shared by a few entries picked by rendezvous hashing over listed and heard entries; a gained part is used after 4 s, a lost one given up at once, cold parts are given up 2 s after the last news. Cold, ready, suspect and leaving states follow from reports, notices and endings. The measured limit only shrinks a share. An entry without a share of a service uses one permit at a server that reports itself less than half full. Conclusion: warm parts of an entry that is cut off for longer than the settle delay are not given up; the sum of warm parts may then pass the limit by that entry's part.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -85,7 +85,7 @@
             availabilityZone = record.instance.availabilityZone,
             version = version,
             state = state,
-            permits = record.permits(state),
+            permits = if (state == ServerState.LEAVING) 0 else record.permits(board.now),
             limit = record.limits.warm,
             report = record.report,
             reportAgeMillis = record.reportedAt?.let { (board.now - it).inWholeMilliseconds } ?: 0,
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
@@ -1,86 +1,64 @@
 package org.yuccajunction.control
 
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.mutate
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
-import org.yuccajunction.document.Deployment
+import org.yuccajunction.capacity.ReclaimNotice
 import org.yuccajunction.model.BackendServerId
-import org.yuccajunction.model.InstanceRole
-import org.yuccajunction.model.LoadReport
-import org.yuccajunction.model.PlatformInstance
-import org.yuccajunction.model.ServiceName
-import org.yuccajunction.routing.EntryRanking
-import org.yuccajunction.routing.ServerLimits
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.routing.AttemptObservation
 import org.yuccajunction.routing.ServerRecord
 import org.yuccajunction.routing.ServerShare
-import org.yuccajunction.routing.ServerState
+import org.yuccajunction.routing.ServerStates
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
-/** Keeps the believed state of every backend server and this entry's share of it. */
+/** Keeps the believed state of the backend servers that this entry details, and its share of each. */
 public class ServerController : Controller {
-    override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep =
-        when (event) {
-            is ControlEvent.InstancesListed -> ControlStep(placed(board, listed = event.instances))
-            is ControlEvent.DeploymentRead -> ControlStep(placed(board, listed = null))
-            is ControlEvent.ServerReported -> ControlStep(
-                board.update(event.server) {
-                    reported(board, it, event.report)
-                },
-            )
-            is ControlEvent.Ticked -> poll(board, random)
-            else -> ControlStep(board)
-        }
-
-    private fun placed(board: Blackboard, listed: PersistentList<PlatformInstance>?): Blackboard {
-        val instances = listed ?: board.servers.values.map { it.instance }.toPersistentList()
-        val servers = instances.filter { it.role == InstanceRole.BACKEND_SERVER && it.service != null }
-        val counts = servers.groupingBy { it.service }.eachCount()
-        val ranking = ranking(board, listed)
-        val limits = limits(board.deployment)
-        val records =
-            board.servers.clear().mutate { records ->
-                servers.forEach { instance ->
-                    val id = BackendServerId(instance.id.value)
-                    val old = board.servers[id] ?: ServerRecord(instance, ServerState.COLD, board.now)
-                    val serverLimits = limits[instance.service] ?: ServerLimits(0, 0)
-                    val place = ranking.placement(id, counts.getValue(instance.service), serverLimits.warm)
-                    val target =
-                        ServerShare.Permits(
-                            warm = place.share(serverLimits.warm),
-                            cold = if (place.ownsColdStart) serverLimits.cold else 0,
-                        )
-                    records[id] = old.copy(
-                        instance = instance,
-                        limits = serverLimits,
-                        share = old.share.retarget(target, board.now),
-                        state = if (instance.leaving) ServerState.LEAVING else old.state,
-                    )
-                }
+    override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep {
+        val step =
+            when (event) {
+                is ControlEvent.InstancesListed -> ControlStep(ServerPlacements.place(board, event.instances))
+                is ControlEvent.DeploymentRead -> ControlStep(replaced(board))
+                is ControlEvent.ServerReported -> ControlStep(reported(board, event))
+                is ControlEvent.AttemptsEnded -> ControlStep(event.observations.fold(board, ::attempted))
+                is ControlEvent.NoticesRead -> ControlStep(event.notices.fold(board, ::noticed))
+                is ControlEvent.Ticked -> ticked(board, random)
+                else -> ControlStep(board)
             }
-        return board.copy(servers = records)
+        return step.copy(commands = (step.commands + changes(board, step.board)).toPersistentList())
     }
 
-    private fun ranking(board: Blackboard, listed: PersistentList<PlatformInstance>?): EntryRanking {
-        val membership = board.membership
-        val self = membership.self.entry.instance
-        val instances = listed ?: membership.instances.values
-        val entries = instances.filter { it.role == InstanceRole.ENTRY }.map { it.id }
-        return EntryRanking(self, (entries + membership.peers.keys + self).toSet())
+    private fun replaced(board: Blackboard): Blackboard {
+        val instances = board.membership.instances.values
+        return if (instances.isEmpty()) board else ServerPlacements.place(board, instances)
     }
 
-    private fun reported(board: Blackboard, record: ServerRecord, report: LoadReport?): ServerRecord {
-        if (report == null) return record.copy(unansweredPolls = record.unansweredPolls + 1)
-        val state =
-            when {
-                record.state == ServerState.LEAVING -> ServerState.LEAVING
-                report.cold || record.report?.incarnation.let { it != null && it != report.incarnation } ->
-                    ServerState.COLD
-                else -> ServerState.READY
-            }
-        return record.copy(state = state, report = report, reportedAt = board.now, unansweredPolls = 0)
+    private fun reported(board: Blackboard, event: ControlEvent.ServerReported): Blackboard =
+        board.update(event.server) { ServerStates.reported(it, event.report, board.now) }
+
+    private fun attempted(board: Blackboard, observation: AttemptObservation): Blackboard =
+        board.update(observation.server) {
+            ServerStates.attempted(it, observation, target(board, observation), board.now)
+        }
+
+    private fun target(board: Blackboard, observation: AttemptObservation): Long {
+        val model = board.deployment.models.find { it.name == observation.service }
+        val application = board.deployment.applications.find { it.name == observation.service }
+        return model?.firstTokenTargetMillis ?: application?.latencyTargetMillis ?: Long.MAX_VALUE
+    }
+
+    private fun noticed(board: Blackboard, notice: ReclaimNotice): Blackboard =
+        board.update(BackendServerId(notice.instance.value)) {
+            val until = board.now + notice.remainingMillis.milliseconds + LISTING_LAG
+            ServerStates.announced(it, it.signs.copy(noticedUntil = until), board.now)
+        }
+
+    private fun ticked(board: Blackboard, random: Random): ControlStep {
+        val newEntries = ServerPlacements.entries(board, board.membership.instances.values) != board.placedEntries
+        return poll(if (newEntries) replaced(board) else board, random)
     }
 
     private fun poll(board: Blackboard, random: Random): ControlStep {
@@ -88,22 +66,51 @@
         val servers =
             board.servers.mutate { records ->
                 board.servers.forEach { (id, record) ->
-                    val usable = record.share.usable(board.now)
                     val due = record.pollAt <= board.now
                     if (due) commands += ControlCommand.PollServer(id, record.endpoint)
-                    val pollAt = if (due) board.now + random.nextLong(POLL_MILLIS).milliseconds else record.pollAt
-                    if (due || usable != record.usable) records[id] = record.copy(usable = usable, pollAt = pollAt)
+                    val next = refreshed(board, record, if (due) board.now + pollInterval(random) else record.pollAt)
+                    if (next != record) records[id] = next
                 }
             }
         return ControlStep(board.copy(servers = servers), commands.build())
     }
 
-    private fun limits(deployment: Deployment): Map<ServiceName, ServerLimits> =
-        deployment.models.associate { it.name to ServerLimits(it.requestLimit, it.coldRequestLimit) } +
-            deployment.applications.associate { it.name to ServerLimits(it.requestLimit, it.coldRequestLimit) }
+    private fun refreshed(board: Blackboard, record: ServerRecord, pollAt: MonotonicTime): ServerRecord {
+        val settled = record.copy(usable = usable(board, record), pollAt = pollAt)
+        return ServerStates.announced(settled, settled.signs, board.now)
+    }
+
+    private fun usable(board: Blackboard, record: ServerRecord): ServerShare.Permits {
+        val usable = record.share.usable(board.now)
+        return if (isCutOff(board)) usable.copy(cold = 0) else usable
+    }
+
+    /** Whether this entry may have missed that another one has taken over its cold starts. */
+    private fun isCutOff(board: Blackboard): Boolean {
+        val membership = board.membership
+        val heardAt = (membership.peers.values.map { it.heardAt } + listOfNotNull(membership.listedAt)).maxOrNull()
+        return heardAt == null || board.now - heardAt > ServerShare.ISOLATION_TIMEOUT
+    }
+
+    private fun pollInterval(random: Random): Duration =
+        random.nextLong(SHORTEST_POLL_MILLIS, LONGEST_POLL_MILLIS).milliseconds
+
+    private fun changes(before: Blackboard, after: Blackboard): List<ControlCommand> =
+        if (before.servers === after.servers) emptyList() else stateChanges(before, after)
+
+    private fun stateChanges(before: Blackboard, after: Blackboard): List<ControlCommand> =
+        after.servers.mapNotNull { (id, record) ->
+            val old = before.servers[id]?.state
+            if (old == record.state) return@mapNotNull null
+            ControlCommand.Log(LogEvent.SERVER_STATE_CHANGED, "server=$id from=${old ?: "NONE"} to=${record.state}")
+        }
 
     private companion object {
-        const val POLL_MILLIS = 1_000L
+        const val SHORTEST_POLL_MILLIS = 700L
+        const val LONGEST_POLL_MILLIS = 1_300L
+
+        /** Time for which the instance list may still show an instance that has gone. */
+        val LISTING_LAG = 60.seconds
     }
 }
 
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerPlacements.kt
@@ -0,0 +1,107 @@
+package org.yuccajunction.control
+
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.toPersistentSet
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.InstanceId
+import org.yuccajunction.model.InstanceRole
+import org.yuccajunction.model.PlatformInstance
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.routing.EntryRanking
+import org.yuccajunction.routing.RendezvousHash
+import org.yuccajunction.routing.ServerLimits
+import org.yuccajunction.routing.ServerPlacement
+import org.yuccajunction.routing.ServerRecord
+import org.yuccajunction.routing.ServerShare
+import org.yuccajunction.routing.ServerState
+import org.yuccajunction.routing.ServerStates
+
+/** Selects the backend servers that this entry details, and its share of each, from the instances listed. */
+internal object ServerPlacements {
+    /** Servers at which an entry without any share of a service may use spare room. */
+    private const val BORROWED_SERVERS = 2
+
+    /** Returns [board] with the servers that [instances] hold for this entry. */
+    fun place(board: Blackboard, instances: Collection<PlatformInstance>): Blackboard {
+        val entries = entries(board, instances)
+        val ranking = EntryRanking(board.membership.self.entry.instance, entries)
+        val limits = limits(board.deployment)
+        val byService =
+            instances
+                .filter { it.role == InstanceRole.BACKEND_SERVER && it.service in limits }
+                .groupBy { it.service }
+        val records =
+            board.servers.clear().mutate { records ->
+                byService.forEach { (service, servers) ->
+                    placeService(board, ranking, servers, limits.getValue(service), records)
+                }
+            }
+        return board.copy(servers = records, placedEntries = entries.toPersistentSet())
+    }
+
+    /** Returns every entry that may send requests: those listed, and those heard of that the list lags behind. */
+    fun entries(board: Blackboard, instances: Collection<PlatformInstance>): Set<InstanceId> {
+        val listed = instances.filter { it.role == InstanceRole.ENTRY }.map { it.id }
+        return (listed + board.membership.peers.keys + board.membership.self.entry.instance).toSet()
+    }
+
+    private fun placeService(
+        board: Blackboard,
+        ranking: EntryRanking,
+        servers: List<PlatformInstance>,
+        limits: ServerLimits,
+        records: MutableMap<BackendServerId, ServerRecord>,
+    ) {
+        val placed =
+            servers
+                .map { it to ranking.placement(BackendServerId(it.id.value), servers.size, limits.warm) }
+                .filter { (_, place) -> place.rank < place.holders }
+        placed.forEach { (instance, place) ->
+            records[instance.serverId()] = record(board, instance, limits, permits(place, limits), borrowed = false)
+        }
+        if (placed.isNotEmpty()) return
+        val key = RendezvousHash.hash(board.membership.self.entry.instance.value)
+        servers
+            .sortedByDescending { RendezvousHash.score(RendezvousHash.hash(it.id.value), key) }
+            .take(BORROWED_SERVERS)
+            .forEach { instance ->
+                val one = ServerShare.Permits(warm = 1, cold = 0)
+                records[instance.serverId()] = record(board, instance, limits, one, borrowed = true)
+            }
+    }
+
+    private fun permits(place: ServerPlacement, limits: ServerLimits) =
+        ServerShare.Permits(
+            warm = place.share(limits.warm),
+            cold = if (place.ownsColdStart) limits.cold else 0,
+        )
+
+    private fun record(
+        board: Blackboard,
+        instance: PlatformInstance,
+        limits: ServerLimits,
+        target: ServerShare.Permits,
+        borrowed: Boolean,
+    ): ServerRecord {
+        val known = board.servers[instance.serverId()]?.takeIf { it.instance.endpoint == instance.endpoint }
+        val old = known ?: ServerRecord(instance, ServerState.COLD, board.now)
+        val share = old.share.retarget(target, board.now)
+        val placed =
+            old.copy(
+                instance = instance,
+                limits = limits,
+                share = share,
+                usable = share.usable(board.now),
+                borrowed = borrowed,
+            )
+        return ServerStates.announced(placed, placed.signs.copy(listed = instance.leaving), board.now)
+    }
+
+    private fun limits(deployment: Deployment): Map<ServiceName?, ServerLimits> =
+        deployment.models.associate { it.name to ServerLimits(it.requestLimit, it.coldRequestLimit) } +
+            deployment.applications.associate { it.name to ServerLimits(it.requestLimit, it.coldRequestLimit) }
+}
+
+/** Returns the id under which the instance is known as a backend server. */
+internal fun PlatformInstance.serverId(): BackendServerId = BackendServerId(id.value)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/ServerRecord.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/ServerRecord.kt
@@ -4,6 +4,7 @@
 import org.yuccajunction.model.LoadReport
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.PlatformInstance
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * What the control state of one entry holds of one backend server.
@@ -11,9 +12,12 @@
  * @property limits what the server bears from all entries together
  * @property usable the part of [limits] that this entry may use now
  * @property share how [usable] comes about
+ * @property borrowed whether this entry holds no share of the service and may use spare room here
+ * @property limit how much of [usable] the measured service allows
+ * @property signs announcements that the server is about to go
+ * @property evidence what was seen since [stateSince]
  * @property reportedAt when [report] came, by this entry's clock
  * @property pollAt when the server is next asked for its load
- * @property unansweredPolls polls without an answer since the last report
  */
 public data class ServerRecord(
     public val instance: PlatformInstance,
@@ -22,20 +26,34 @@
     public val limits: ServerLimits = ServerLimits(warm = 0, cold = 0),
     public val share: ServerShare = ServerShare(targetSince = stateSince),
     public val usable: ServerShare.Permits = ServerShare.Permits.NONE,
+    public val borrowed: Boolean = false,
+    public val limit: AdaptiveLimit = AdaptiveLimit(windowSince = stateSince),
+    public val signs: LeavingSigns = LeavingSigns(),
+    public val evidence: ServerEvidence = ServerEvidence(),
     public val report: LoadReport? = null,
     public val reportedAt: MonotonicTime? = null,
     public val pollAt: MonotonicTime = stateSince,
-    public val unansweredPolls: Int = 0,
 ) {
     /** Where the server takes calls. */
     public val endpoint: Endpoint get() = instance.endpoint
 
-    /** Requests that this entry may have open at the server in [state]. */
-    public fun permits(state: ServerState = this.state): Int =
+    /** Returns how many requests this entry may have open at the server at [now]. */
+    public fun permits(now: MonotonicTime): Int =
         when (state) {
-            ServerState.READY -> usable.warm
+            ServerState.READY -> if (borrowed) borrowedPermits(now) else limit.permits(usable.warm)
             ServerState.COLD -> usable.cold
-            ServerState.SUSPECT -> minOf(1, usable.warm)
+            ServerState.SUSPECT -> minOf(1, usable.cold)
             ServerState.LEAVING -> 0
         }
+
+    private fun borrowedPermits(now: MonotonicTime): Int {
+        val load = report ?: return 0
+        val fresh = reportedAt != null && now - reportedAt <= FRESH_REPORT
+        val spare = (load.running + load.waiting) * 2 < limits.warm
+        return if (fresh && spare) minOf(1, usable.warm) else 0
+    }
+
+    private companion object {
+        val FRESH_REPORT = 3.seconds
+    }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/ServerShare.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/ServerShare.kt
@@ -37,7 +37,10 @@
         if (newTarget == target) this else ServerShare(usable(now).atMost(newTarget), newTarget, now)
 
     public companion object {
-        /** Longer than the time after which an entry that is cut off stops using its shares. */
+        /** Time without news of the platform or any other entry after which cold shares are no longer used. */
+        public val ISOLATION_TIMEOUT: Duration = 2.seconds
+
+        /** Longer than [ISOLATION_TIMEOUT] and the lag of news about a new entry together. */
         public val SETTLE_DELAY: Duration = 4.seconds
     }
 }
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/routing/ServerStatesTest.kt
@@ -0,0 +1,113 @@
+package org.yuccajunction.routing
+
+import org.yuccajunction.control.TALKER
+import org.yuccajunction.control.VERSION_1
+import org.yuccajunction.control.serverId
+import org.yuccajunction.control.serverInstance
+import org.yuccajunction.model.LoadReport
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.RequestClass
+import org.yuccajunction.model.WorkspaceId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class ServerStatesTest {
+    private val start = MonotonicTime.ZERO
+    private val fresh =
+        ServerRecord(
+            instance = serverInstance(1),
+            state = ServerState.COLD,
+            stateSince = start,
+            limits = ServerLimits(8, 1),
+            usable = ServerShare.Permits(2, 1),
+        )
+
+    @Test
+    fun `a new server gets its cold permits until reports and attempts say otherwise`() {
+        val reported = fresh.reports(2)
+        assertEquals(ServerState.COLD, reported.state)
+        assertEquals(1, reported.permits(start))
+        assertEquals(ServerState.READY, reported.attempts(AttemptResult.COMPLETED, 3).reports(1).state)
+    }
+
+    @Test
+    fun `a server without own attempts becomes ready after four warm reports`() {
+        assertEquals(ServerState.COLD, fresh.reports(3).state)
+        assertEquals(ServerState.READY, fresh.reports(4).state)
+    }
+
+    @Test
+    fun `a restarted server is cold at once and must prove itself again`() {
+        val restarted = fresh.reports(4).reports(1, incarnation = "2")
+        assertEquals(ServerState.COLD, restarted.state)
+        assertEquals(ServerState.COLD, restarted.reports(3, incarnation = "2").state)
+    }
+
+    @Test
+    fun `a server that says cold is cold at once`() {
+        assertEquals(ServerState.COLD, fresh.reports(4).reports(1, cold = true).state)
+    }
+
+    @Test
+    fun `three sudden slow answers make a server cold although it does not say so`() {
+        val ready = fresh.reports(4).attempts(AttemptResult.COMPLETED, 10, millis = 100)
+        assertEquals(ServerState.READY, ready.attempts(AttemptResult.COMPLETED, 2, millis = 900).state)
+        assertEquals(ServerState.COLD, ready.attempts(AttemptResult.COMPLETED, 3, millis = 900).state)
+    }
+
+    @Test
+    fun `a refused connection makes a server suspect and a report after a while makes it cold`() {
+        val suspect = fresh.reports(4).attempts(AttemptResult.UNREACHABLE, 1)
+        assertEquals(ServerState.SUSPECT, suspect.state)
+        assertEquals(ServerState.SUSPECT, suspect.reports(1).state)
+        assertEquals(ServerState.COLD, suspect.reports(1, at = start + 2.seconds).state)
+    }
+
+    @Test
+    fun `one broken answer is not enough to suspect a server, two in a row are`() {
+        val ready = fresh.reports(4)
+        assertEquals(ServerState.READY, ready.attempts(AttemptResult.BROKEN, 1).state)
+        assertEquals(ServerState.SUSPECT, ready.attempts(AttemptResult.BROKEN, 2).state)
+    }
+
+    @Test
+    fun `three unanswered polls make a server suspect`() {
+        val silent = (1..3).fold(fresh.reports(4)) { record, _ -> ServerStates.reported(record, null, start) }
+        assertEquals(ServerState.SUSPECT, silent.state)
+    }
+
+    @Test
+    fun `a leaving server has no permits whatever it reports, and starts cold if it stays`() {
+        val leaving = ServerStates.announced(fresh.reports(4), LeavingSigns(listed = true), start).reports(5)
+        assertEquals(0, leaving.permits(start))
+        assertEquals(ServerState.COLD, ServerStates.announced(leaving, LeavingSigns(), start).state)
+    }
+
+    private fun ServerRecord.reports(
+        count: Int,
+        incarnation: String = "1",
+        cold: Boolean = false,
+        at: MonotonicTime = start,
+    ): ServerRecord =
+        (1..count).fold(this) { record, _ ->
+            ServerStates.reported(record, LoadReport(incarnation, cold = cold), at)
+        }
+
+    private fun ServerRecord.attempts(result: AttemptResult, count: Int, millis: Long = 100): ServerRecord =
+        (1..count).fold(this) { record, _ ->
+            ServerStates.attempted(record, observation(result, millis), 630, start)
+        }
+
+    private fun observation(result: AttemptResult, millis: Long) =
+        AttemptObservation(
+            service = TALKER,
+            version = VERSION_1,
+            server = fresh.instance.serverId(),
+            workspace = WorkspaceId("shop"),
+            requestClass = RequestClass.DRAFT,
+            route = "/v1/chat/completions",
+            result = result,
+            firstTokenMillis = millis,
+        )
+}
