--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/Blackboard.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/Blackboard.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.yuccajunction.configuration.ConfigurationState
 import org.yuccajunction.document.Deployment
 import org.yuccajunction.lease.LeaseState
 import org.yuccajunction.membership.MembershipState
@@ -30,4 +31,5 @@
     public val placedEntries: PersistentSet<InstanceId> = persistentSetOf(),
     public val rollout: RolloutState = RolloutState(),
     public val leases: LeaseState = LeaseState(),
+    public val configuration: ConfigurationState = ConfigurationState(),
 )
