Choose backend servers by prefix and prediction, admit by class and fair part

Cause: the less loaded of two servers knows no cached prefixes, classes, workspaces or targets. Change: prefix affinity bounded by load, else two choices by predicted first token; cold and suspect servers get a small part of the choices; a higher class finds permits that lower ones leave; a workspace is held to its weighted part while capacity is short; a cold server's reported requests take up its cold permits. A zone in which most servers fail is left out but for probes.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -30,6 +30,8 @@
         availabilityZone = board.membership.self.availabilityZone,
         services = services(board, takenOut),
         workspaces = workspacesByKeyHash(deployment),
+        weights = deployment.trafficRules.workspaces.associate { it.name to it.weight }.toPersistentMap(),
+        madeAt = board.now,
         entries = entries(board, takenOut),
         leaving = board.membership.self.leaving,
         retryShare = deployment.trafficRules.retryShare,
@@ -72,33 +74,56 @@
 
 private class ServerRoutes(private val board: Blackboard, private val takenOut: Set<AvailabilityZone>) {
     private val zones = board.deployment.availabilityZones.associateBy { it.name }
+    private val failing = failingZones(board)
 
     fun of(records: List<Pair<BackendServerId, ServerRecord>>): PersistentList<ServerRoute> =
         records.mapNotNull { (id, record) -> route(id, record) }.toPersistentList()
 
     private fun route(id: BackendServerId, record: ServerRecord): ServerRoute? {
         val version = record.instance.version ?: return null
-        val state = if (record.instance.availabilityZone in takenOut) ServerState.LEAVING else record.state
+        val believed = record.copy(state = state(record))
         return ServerRoute(
             id = id,
             endpoint = record.endpoint,
             availabilityZone = record.instance.availabilityZone,
             version = version,
-            state = state,
-            permits = if (state == ServerState.LEAVING) 0 else record.permits(board.now),
+            state = believed.state,
+            permits = believed.permits(board.now),
             limit = record.limits.warm,
             report = record.report,
             reportAgeMillis = record.reportedAt?.let { (board.now - it).inWholeMilliseconds } ?: 0,
             pricePerHour = price(record),
+            firstTokenMillis = record.evidence.firstTokenMillis,
         )
     }
 
+    private fun state(record: ServerRecord): ServerState {
+        val zone = record.instance.availabilityZone
+        return when {
+            zone in takenOut -> ServerState.LEAVING
+            zone in failing && record.state != ServerState.LEAVING -> ServerState.SUSPECT
+            else -> record.state
+        }
+    }
+
     private fun price(record: ServerRecord): Double {
         val zone = zones[record.instance.availabilityZone] ?: return 1.0
         return if (record.instance.reclaimable) zone.reclaimablePricePerHour else zone.onDemandPricePerHour
     }
 }
 
+/** Returns the zones in which so many servers fail at once that the rest are likely to be failing as well. */
+private fun failingZones(board: Blackboard): Set<AvailabilityZone> {
+    val byZone = board.servers.values.filter {
+        it.state != ServerState.LEAVING
+    }.groupBy { it.instance.availabilityZone }
+    return byZone.filterValues { it.size >= LEAST_ZONE_SERVERS && it.mostAreSuspect() }.keys
+}
+
+private fun List<ServerRecord>.mostAreSuspect(): Boolean = count { it.state == ServerState.SUSPECT } * 2 > size
+
+private const val LEAST_ZONE_SERVERS = 3
+
 private fun workspacesByKeyHash(deployment: Deployment): PersistentMap<String, WorkspaceRule> =
     deployment.trafficRules.workspaces
         .flatMap { workspace -> workspace.keyHashes.map { it to workspace } }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerPlacements.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerPlacements.kt
@@ -40,10 +40,14 @@
         return board.copy(servers = records, placedEntries = entries.toPersistentSet())
     }
 
-    /** Returns every entry that may send requests: those listed, and those heard of that the list lags behind. */
+    /**
+     * Returns every entry that may send requests: those listed, whether heard of or not, and those heard of that the
+     * list lags behind.
+     */
     fun entries(board: Blackboard, instances: Collection<PlatformInstance>): Set<InstanceId> {
         val listed = instances.filter { it.role == InstanceRole.ENTRY }.map { it.id }
-        return (listed + board.membership.peers.keys + board.membership.self.entry.instance).toSet()
+        val heard = board.membership.peers.filterValues { !it.suspected }.keys
+        return (listed + heard + board.membership.self.entry.instance).toSet()
     }
 
     private fun placeService(
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/AdaptiveLimit.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/AdaptiveLimit.kt
@@ -6,16 +6,18 @@
 /**
  * Shrinks this entry's share of one server while too many requests miss the latency target, and lets it grow back.
  *
- * Additive increase, multiplicative decrease. The factor never exceeds 1, so that the shares of all entries together
+ * Additive increase, multiplicative decrease; until the first decrease it grows by half at a time. The factor never exceeds 1, so that the shares of all entries together
  * never exceed the server's configured limit.
  *
  * @property factor part of the share that may be used, from 0 to 1
+ * @property starting whether the share has not been shrunk since the server became ready
  * @property judged attempts since [windowSince]
  * @property missed those of [judged] that missed the target or were rejected
  */
 public data class AdaptiveLimit(
     public val factor: Double = FIRST_FACTOR,
     public val windowSince: MonotonicTime,
+    public val starting: Boolean = true,
     public val judged: Int = 0,
     public val missed: Int = 0,
 ) {
@@ -31,13 +33,19 @@
 
     private fun adjusted(now: MonotonicTime): AdaptiveLimit {
         val tooMany = missed > judged * TOLERATED_MISSES
-        val adjusted = if (tooMany) factor * DECREASE else factor + INCREASE
-        return AdaptiveLimit(adjusted.coerceIn(LEAST_FACTOR, 1.0), now)
+        val adjusted =
+            when {
+                tooMany -> factor * DECREASE
+                starting -> factor * START_INCREASE
+                else -> factor + INCREASE
+            }
+        return AdaptiveLimit(adjusted.coerceIn(LEAST_FACTOR, 1.0), now, starting && !tooMany)
     }
 
     private companion object {
         const val FIRST_FACTOR = 0.5
         const val LEAST_FACTOR = 0.05
+        const val START_INCREASE = 1.5
         const val INCREASE = 0.1
         const val DECREASE = 0.75
         const val TOLERATED_MISSES = 0.1
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/LoadBoundedServerChooser.kt
@@ -0,0 +1,59 @@
+package org.yuccajunction.routing
+
+import org.yuccajunction.model.RefusalReason
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Chooses by prompt prefix while the load allows it, else the better of two servers by predicted first token.
+ *
+ * Requests with the same prefix go to the same server, whose cache holds it, as long as that server is not loaded more
+ * than the others. A server in cold start gets a fixed part of the choices up to its cold limit; a suspect one gets a
+ * rare probe. Where no server can meet the target, or none has a permit left, the request is refused at once.
+ */
+public class LoadBoundedServerChooser : ServerChooser {
+    private val admission = RequestAdmission()
+
+    override fun choose(
+        query: RoutingQuery,
+        table: RoutingTable,
+        openRequests: OpenRequests,
+        random: Random,
+    ): Choice {
+        val service =
+            table.services[query.service] ?: return refuse(RefusalReason.UNKNOWN_SERVICE, "no ${query.service}", random)
+        val usable = service.servers.filter { it.permits > 0 && it.state != ServerState.LEAVING }
+        if (usable.isEmpty()) return refuse(RefusalReason.NO_BACKEND_SERVER, "no server of ${query.service}", random)
+        val load =
+            RequestAdmission.Load(
+                used = usable.sumOf { openRequests.at(it.id) },
+                capacity = usable.sumOf { it.permits },
+                ofWorkspace = openRequests.of(query.workspace),
+            )
+        admission.refusal(query, service.kind, table, load)?.takeUnless { query.isRetry() }?.let {
+            return refuse(RefusalReason.NO_CAPACITY, it, random)
+        }
+        val selection = ServerSelection(query, service, table.availabilityZone, openRequests, random)
+        return VersionChoice
+            .order(service, query, random)
+            .firstNotNullOfOrNull { version -> selection.acquire(usable.filter { it.version == version }) }
+            ?.let { Choice.Use(it) }
+            ?: refuse(RefusalReason.NO_CAPACITY, "no server can meet the target of ${query.service} now", random)
+    }
+
+    /** A request that was accepted before goes on before new ones do. */
+    private fun RoutingQuery.isRetry(): Boolean = avoid.isNotEmpty()
+
+    private fun refuse(reason: RefusalReason, detail: String, random: Random): Choice.Refuse {
+        val shortest = if (reason == RefusalReason.NO_CAPACITY) SHORT_RETRY else LONG_RETRY
+        return Choice.Refuse(reason, shortest + random.nextLong(JITTER_MILLIS).milliseconds, detail)
+    }
+
+    private companion object {
+        const val JITTER_MILLIS = 1_000L
+        val SHORT_RETRY: Duration = 1.seconds
+        val LONG_RETRY: Duration = 3.seconds
+    }
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/RoutingTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/RoutingTable.kt
@@ -6,8 +6,10 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.WorkspaceId
 
 /**
  * All that traffic threads need from the control state, as one immutable value.
@@ -17,6 +19,8 @@
  *
  * @property workspaces rules by the SHA-256 of the key, in lower-case hexadecimal
  * @property entries the entries that take new work, this one included while it does
+ * @property weights share of each workspace against the others when capacity is short
+ * @property madeAt when the control thread made this table
  * @property leaving whether this entry has begun its graceful shutdown
  */
 public data class RoutingTable(
@@ -24,6 +28,8 @@
     public val availabilityZone: AvailabilityZone,
     public val services: PersistentMap<ServiceName, ServiceRoute> = persistentMapOf(),
     public val workspaces: PersistentMap<String, WorkspaceRule> = persistentMapOf(),
+    public val weights: PersistentMap<WorkspaceId, Double> = persistentMapOf(),
+    public val madeAt: MonotonicTime = MonotonicTime.ZERO,
     public val entries: PersistentList<EntryAddress> = persistentListOf(),
     public val leaving: Boolean = false,
     public val retryShare: Double = 0.1,
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/ServerRecord.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/ServerRecord.kt
@@ -41,19 +41,36 @@
     public fun permits(now: MonotonicTime): Int =
         when (state) {
             ServerState.READY -> if (borrowed) borrowedPermits(now) else limit.permits(usable.warm)
-            ServerState.COLD -> usable.cold
+            ServerState.COLD -> coldPermits(now)
             ServerState.SUSPECT -> minOf(1, usable.cold)
             ServerState.LEAVING -> 0
         }
 
+    /**
+     * Leaves room for what the server reports, which may be other entries' requests from before it turned cold or
+     * before this entry took it over. Early on this entry's own ones count twice rather than others' not at all.
+     */
+    private fun coldPermits(now: MonotonicTime): Int {
+        val reported = freshLoad(now) ?: return 0
+        val settledAt = maxOf(stateSince, share.targetSince) + FOREIGN_REQUESTS
+        if (now < settledAt) return maxOf(0, usable.cold - reported)
+        return if (reported < limits.cold) usable.cold else 0
+    }
+
     private fun borrowedPermits(now: MonotonicTime): Int {
-        val load = report ?: return 0
-        val fresh = reportedAt != null && now - reportedAt <= FRESH_REPORT
-        val spare = (load.running + load.waiting) * 2 < limits.warm
-        return if (fresh && spare) minOf(1, usable.warm) else 0
+        val reported = freshLoad(now) ?: return 0
+        return if (reported * 2 < limits.warm) minOf(1, usable.warm) else 0
+    }
+
+    private fun freshLoad(now: MonotonicTime): Int? {
+        if (reportedAt == null || now - reportedAt > FRESH_REPORT) return null
+        return report?.let { it.running + it.waiting }
     }
 
     private companion object {
         val FRESH_REPORT = 3.seconds
+
+        /** Time for which requests that other entries sent before may still be open. */
+        val FOREIGN_REQUESTS = 10.seconds
     }
 }
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/BaselineChoosers.kt
@@ -0,0 +1,35 @@
+package org.yuccajunction.control
+
+import org.yuccajunction.model.RefusalReason
+import org.yuccajunction.routing.Choice
+import org.yuccajunction.routing.ServerChooser
+import org.yuccajunction.routing.ServerRoute
+import org.yuccajunction.routing.ServerState
+import kotlin.time.Duration.Companion.seconds
+
+/** Plain choosers to compare with: they know no prefixes, classes, workspaces or predictions. */
+object BaselineChoosers {
+    fun roundRobin(): ServerChooser {
+        var next = 0
+        return ServerChooser { query, table, open, _ ->
+            val servers = table.services.getValue(query.service).servers.filter { it.id !in query.avoid }
+            val turn = next++
+            take(servers.indices.map { servers[(turn + it) % servers.size] }) { open.tryAcquire(it.id, SHARE) }
+        }
+    }
+
+    fun leastRequests() =
+        ServerChooser { query, table, open, random ->
+            val servers = table.services.getValue(query.service).servers.filter { it.id !in query.avoid }
+            take(servers.shuffled(random).sortedBy { open.at(it.id) }) { open.tryAcquire(it.id, SHARE) }
+        }
+
+    private fun take(servers: List<ServerRoute>, acquire: (ServerRoute) -> Boolean): Choice {
+        val usable = servers.filter { it.state != ServerState.LEAVING }
+        return usable.firstOrNull(acquire)?.let { Choice.Use(it) }
+            ?: Choice.Refuse(RefusalReason.NO_CAPACITY, 1.seconds, "full")
+    }
+
+    /** Half of the limit, for models of two entries. */
+    private const val SHARE = ServiceModel.LIMIT / 2
+}
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/ServiceModel.kt
@@ -0,0 +1,204 @@
+package org.yuccajunction.control
+
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.yuccajunction.document.Deployment
+import org.yuccajunction.document.TrafficRules
+import org.yuccajunction.document.WorkspaceRule
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.RequestClass
+import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.routing.AttemptObservation
+import org.yuccajunction.routing.AttemptResult
+import org.yuccajunction.routing.Choice
+import org.yuccajunction.routing.OpenRequests
+import org.yuccajunction.routing.RoutingQuery
+import org.yuccajunction.routing.ServerChooser
+import org.yuccajunction.routing.ServerRoute
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Who asks how often: requests a second by workspace and class. */
+data class Demand(val workspace: String, val requestClass: RequestClass, val perSecond: Double, val prefixes: Int = 4)
+
+/** A few modelled servers behind a few entries whose decisions are the real ones, under an open-loop load. */
+class ServiceModel(
+    private val seed: Int,
+    private val demands: List<Demand>,
+    private val servers: List<ServerModel>,
+    entryCount: Int = 2,
+    weights: Map<String, Double> = emptyMap(),
+    private val retries: Int = 1,
+    chooser: () -> ServerChooser,
+) {
+    private val random = Random(seed)
+    private val deployment: Deployment =
+        talkerDeployment(LIMIT, 1).copy(
+            trafficRules =
+            TrafficRules(
+                demands.map { it.workspace }.distinct().map {
+                    WorkspaceRule(WorkspaceId(it), listOf(it), weights[it] ?: 1.0)
+                },
+            ),
+        )
+    private val entries = (1..entryCount).map { Entry(ControlledEntry(it, deployment, START, seed), chooser()) }
+    private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private var order = 0L
+    private var now = 0L
+    private var readyAt = 0L
+    val outcomes = mutableListOf<Outcome>()
+    var attempts = 0
+
+    data class Outcome(val demand: Demand, val at: Long, val admitted: Boolean, val inTarget: Boolean, val hit: Boolean)
+
+    private class Event(val at: Long, val order: Long, val run: () -> Unit)
+
+    private class Entry(val control: ControlledEntry, val chooser: ServerChooser) {
+        val open = OpenRequests()
+        val observations = mutableListOf<AttemptObservation>()
+        var table = routingTable(control.board)
+    }
+
+    /** Runs the load for [seconds] after the entries know their servers; [at] is called with each elapsed second. */
+    fun run(seconds: Int, at: (Int) -> Unit = {}) {
+        repeat(WARM_UP_TICKS) { tick(it * TICK_MILLIS) }
+        readyAt = WARM_UP_TICKS * TICK_MILLIS
+        val end = readyAt + seconds * 1_000L
+        (0 until seconds).forEach { second -> schedule(readyAt + second * 1_000L) { at(second) } }
+        (readyAt until end step TICK_MILLIS).forEach { time -> schedule(time) { tick(time) } }
+        demands.forEach { demand -> arrivals(demand, end) }
+        while (events.isNotEmpty()) {
+            val event = events.poll()
+            now = event.at
+            event.run()
+        }
+    }
+
+    /** Share of requests that met the target, of those that [select] takes. */
+    fun inTarget(select: (Outcome) -> Boolean = { true }): Double =
+        outcomes.filter(select).let { chosen -> chosen.count { it.inTarget }.toDouble() / chosen.size }
+
+    fun hitShare(): Double = outcomes.filter { it.admitted }.let { all -> all.count { it.hit }.toDouble() / all.size }
+
+    fun secondOf(outcome: Outcome): Long = (outcome.at - readyAt) / 1_000
+
+    private fun schedule(at: Long, run: () -> Unit) {
+        events += Event(at, order++, run)
+    }
+
+    private fun arrivals(demand: Demand, end: Long) {
+        var time = readyAt.toDouble()
+        while (true) {
+            time += -ln(1 - random.nextDouble()) * 1_000 / demand.perSecond
+            if (time >= end) return
+            val at = time.toLong()
+            val prefix = (demand.workspace.hashCode() * 31L + random.nextInt(demand.prefixes)) * 7_919
+            schedule(at) { dispatch(demand, entries.random(random), prefix, at, emptyList()) }
+        }
+    }
+
+    private fun dispatch(demand: Demand, entry: Entry, prefix: Long, arrivedAt: Long, failed: List<ServerRoute>) {
+        val query =
+            RoutingQuery(
+                service = TALKER,
+                workspace = WorkspaceId(demand.workspace),
+                requestClass = demand.requestClass,
+                route = "chat",
+                prefixKey = prefix,
+                avoid = persistentSetOf<BackendServerId>().addAll(failed.map { it.id }),
+                avoidZone = failed.lastOrNull()?.availabilityZone,
+            )
+        entry.open.tryAcquire(query.workspace, Int.MAX_VALUE)
+        when (val choice = entry.chooser.choose(query, entry.table, entry.open, random)) {
+            is Choice.Refuse -> {
+                entry.open.release(query.workspace)
+                outcomes += Outcome(demand, arrivedAt, admitted = false, inTarget = false, hit = false)
+            }
+            is Choice.Use -> serve(demand, entry, query, choice.server, arrivedAt, failed)
+        }
+    }
+
+    private fun serve(
+        demand: Demand,
+        entry: Entry,
+        query: RoutingQuery,
+        route: ServerRoute,
+        arrivedAt: Long,
+        failed: List<ServerRoute>,
+    ) {
+        attempts += 1
+        val server = servers.single { it.instance.serverId() == route.id }
+        val openBefore = entry.open.at(route.id) - 1
+        if (!server.alive || server.failing) {
+            schedule(now + FAILURE_MILLIS) {
+                entry.finish(query, route, AttemptResult.BROKEN, null, openBefore)
+                if (failed.size < retries) {
+                    dispatch(demand, entry, query.prefixKey!!, arrivedAt, failed + route)
+                } else {
+                    outcomes += Outcome(demand, arrivedAt, admitted = true, inTarget = false, hit = false)
+                }
+            }
+            return
+        }
+        val served = server.begin(query.prefixKey!!, random.nextInt(20, 80))
+        val begunIn = server.incarnation
+        val late = now - arrivedAt
+        schedule(now + served.firstTokenMillis + served.restMillis) {
+            val whole = server.end(begunIn)
+            val result = if (whole) AttemptResult.COMPLETED else AttemptResult.BROKEN
+            entry.finish(query, route, result, served.firstTokenMillis, openBefore)
+            val inTarget = whole && late + served.firstTokenMillis <= TARGET_MILLIS
+            outcomes += Outcome(demand, arrivedAt, admitted = true, inTarget = inTarget, hit = served.cacheHit)
+        }
+    }
+
+    private fun Entry.finish(
+        query: RoutingQuery,
+        route: ServerRoute,
+        result: AttemptResult,
+        firstTokenMillis: Long?,
+        openBefore: Int,
+    ) {
+        open.release(route.id)
+        open.release(query.workspace)
+        observations +=
+            AttemptObservation(
+                service = TALKER,
+                version = route.version,
+                server = route.id,
+                workspace = query.workspace,
+                requestClass = query.requestClass,
+                route = query.route,
+                result = result,
+                firstTokenMillis = firstTokenMillis,
+                openAtDispatch = openBefore,
+            )
+    }
+
+    private fun tick(time: Long) {
+        servers.forEach { it.record() }
+        val moment = START + time.milliseconds
+        val instances = servers.map { it.instance } + entries.indices.map { entryInstance(it + 1) }
+        entries.forEach { entry ->
+            if (time % LISTING_MILLIS == 0L) entry.control.list(instances, moment)
+            val ended = entry.observations.toPersistentList()
+            entry.observations.clear()
+            entry.control.handle(ControlEvent.AttemptsEnded(ended), moment)
+            entry.control.tick(moment) { id -> servers.single { it.instance.serverId() == id }.report() }
+            entry.table = routingTable(entry.control.board)
+        }
+    }
+
+    companion object {
+        const val LIMIT = 8
+        const val TARGET_MILLIS = 630
+        private const val TICK_MILLIS = 100L
+        private const val LISTING_MILLIS = 1_000L
+        private const val WARM_UP_TICKS = 120
+        private const val FAILURE_MILLIS = 50L
+        private val START = MonotonicTime.ZERO
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/ServiceModelTest.kt
@@ -0,0 +1,126 @@
+package org.yuccajunction.control
+
+import org.yuccajunction.model.RequestClass
+import org.yuccajunction.routing.LoadBoundedServerChooser
+import org.yuccajunction.routing.ServerChooser
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+/** Compares the decisions with plain ones in the same run of a queueing model; prints the medians over the seeds. */
+class ServiceModelTest {
+    private val demands =
+        listOf(
+            Demand("nile-central", RequestClass.DRAFT, 18.0),
+            Demand("nile-giza", RequestClass.DRAFT, 12.0),
+            Demand("nile-alex", RequestClass.INTERACTIVE, 4.0),
+            Demand("nile-luxor", RequestClass.INTERACTIVE, 2.0),
+            Demand("nile-aswan", RequestClass.DRAFT, 2.0),
+        )
+
+    @Test
+    fun `fewer requests miss the target and more prefixes are reused, with one slow server`() {
+        val run = { seed: Int, chooser: () -> ServerChooser ->
+            ServiceModel(seed, demands, servers().also { it[3].speed = 3.0 }, chooser = chooser).also { it.run(60) }
+        }
+        val ours = SEEDS.map { run(it, ::LoadBoundedServerChooser) }
+        val least = SEEDS.map { run(it, BaselineChoosers::leastRequests) }
+        val robin = SEEDS.map { run(it, BaselineChoosers::roundRobin) }
+        val missed = { models: List<ServiceModel> -> median(models.map { 1 - it.inTarget() }) }
+        val hits = { models: List<ServiceModel> -> median(models.map { it.hitShare() }) }
+        println(
+            "one slow server: missed ${missed(ours)}, least requests ${missed(least)}, round robin ${missed(robin)}",
+        )
+        println(
+            "one slow server: prefix reuse ${hits(ours)}, least requests ${hits(least)}, round robin ${hits(robin)}",
+        )
+        assertTrue(missed(ours) < missed(least))
+        assertTrue(missed(ours) < missed(robin))
+        assertTrue(hits(ours) > hits(least))
+    }
+
+    @Test
+    fun `higher classes keep their service and retries stay few while a zone is lost and comes back`() {
+        val run = { seed: Int, chooser: () -> ServerChooser ->
+            val servers = servers()
+            val zone = servers.filter { it.instance.availabilityZone == zone(1) }
+            ServiceModel(seed, demands, servers, chooser = chooser).also { model ->
+                model.run(60) { second ->
+                    if (second == 20) zone.forEach { it.alive = false }
+                    if (second == 40) zone.forEach { it.restart() }
+                    if (second == 45) zone.forEach { it.coldLimit = null }
+                }
+            }
+        }
+        val ours = SEEDS.map { run(it, ::LoadBoundedServerChooser) }
+        val least = SEEDS.map { run(it, BaselineChoosers::leastRequests) }
+        val during = { models: List<ServiceModel>, requestClass: RequestClass ->
+            median(
+                models.map {
+                    it.inTarget { o -> it.secondOf(o) in 20..50 && o.demand.requestClass == requestClass }
+                },
+            )
+        }
+        listOf(RequestClass.INTERACTIVE, RequestClass.DRAFT).forEach { requestClass ->
+            println("zone lost: $requestClass ${during(ours, requestClass)}, plain ${during(least, requestClass)}")
+            assertTrue(during(ours, requestClass) > during(least, requestClass))
+        }
+        val attempts = { models: List<ServiceModel> ->
+            median(models.map { it.attempts.toDouble() / it.outcomes.size })
+        }
+        println("zone lost: attempts a request ${attempts(ours)}, plain ${attempts(least)}")
+        assertTrue(attempts(ours) < 1.1)
+    }
+
+    @Test
+    fun `a workspace that asks for more than everything does not starve a small one`() {
+        val small = Demand("small", RequestClass.DRAFT, 4.0)
+        val run = { seed: Int, chooser: () -> ServerChooser ->
+            ServiceModel(seed, listOf(LARGE, small), servers(), chooser = chooser).also { it.run(40) }
+        }
+        val ours = SEEDS.map { run(it, ::LoadBoundedServerChooser) }
+        val least = SEEDS.map { run(it, BaselineChoosers::leastRequests) }
+        val served = { models: List<ServiceModel> -> median(models.map { it.inTarget { o -> o.demand == small } }) }
+        println("fairness: small workspace in target ${served(ours)}, plain ${served(least)}")
+        ours.forEach { model -> assertTrue(model.inTarget { it.demand == small } >= 0.95) }
+    }
+
+    @Test
+    fun `a workspace that asks alone may use nine tenths of everything`() {
+        val run = { seed: Int, chooser: () -> ServerChooser ->
+            ServiceModel(seed, listOf(LARGE), servers(), chooser = chooser).also { it.run(40) }
+        }
+        val admitted = { models: List<ServiceModel> ->
+            median(models.map { it.outcomes.count { o -> o.admitted } * 1.0 })
+        }
+        val ours = admitted(SEEDS.map { run(it, ::LoadBoundedServerChooser) })
+        val least = admitted(SEEDS.map { run(it, BaselineChoosers::leastRequests) })
+        println("alone: admitted $ours, plain $least")
+        assertTrue(ours >= 0.9 * least)
+    }
+
+    @Test
+    fun `a server that restarts cold gets no more than it bears three seconds later`() {
+        val run = { seed: Int, chooser: () -> ServerChooser ->
+            val servers = servers()
+            ServiceModel(seed, demands, servers, chooser = chooser).run(40) { second ->
+                if (second == 10) servers[0].restart()
+                if (second == 13) servers[0].largestColdLoad = 0
+                if (second == 30) servers[0].coldLimit = null
+            }
+            servers[0].largestColdLoad
+        }
+        val ours = SEEDS.map { run(it, ::LoadBoundedServerChooser) }
+        val least = SEEDS.map { run(it, BaselineChoosers::leastRequests) }
+        println("cold start with a limit of 1: largest load ${ours.max()}, plain ${least.max()}")
+        ours.forEach { assertTrue(it <= 1) }
+    }
+
+    private fun median(values: List<Double>): Double = values.sorted()[values.size / 2]
+
+    private fun servers() = (1..8).map { ServerModel(serverInstance(it), ServiceModel.LIMIT) }
+
+    private companion object {
+        val SEEDS = 1..20
+        val LARGE = Demand("large", RequestClass.DRAFT, 200.0)
+    }
+}
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -31,8 +31,8 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.PlatformInstance
 import org.yuccajunction.model.Revision
+import org.yuccajunction.routing.LoadBoundedServerChooser
 import org.yuccajunction.routing.OpenRequests
-import org.yuccajunction.routing.TwoChoiceServerChooser
 import java.util.concurrent.CountDownLatch
 import kotlin.random.Random
 import kotlin.random.asKotlinRandom
@@ -136,7 +136,7 @@
             self = self,
             callerEndpoint = callerEndpoint(),
             table = { control.table },
-            chooser = TwoChoiceServerChooser(),
+            chooser = LoadBoundedServerChooser(),
             openRequests = OpenRequests(),
             engine = outside.engine,
             application = outside.application,
