--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/operator/OperatorProblem.kt
@@ -0,0 +1,7 @@
+package org.yuccajunction.operator
+
+import kotlinx.serialization.Serializable
+
+/** Why the operator port refused a request (RFC 9457). */
+@Serializable
+public data class OperatorProblem(public val title: String, public val status: Int, public val detail: String)
