--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/ChangePlan.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/configuration/ChangePlan.kt
@@ -6,6 +6,7 @@
 import org.yuccajunction.document.SectionName
 import org.yuccajunction.model.Finding
 import org.yuccajunction.model.Revision
+import java.security.MessageDigest
 
 /**
  * Works out the head and the section texts that one change would lead to.
@@ -48,8 +49,9 @@
             .filter { it.section in changed || it !in before }
     }
 
-    /** The key of the object that holds the new text of [name]. */
-    fun keyOf(name: SectionName): String = ObjectKeys.section(name, request.writeId)
+    /** The key of the object that holds the new text of [name]; it differs for any other wish and any other text. */
+    fun keyOf(name: SectionName): String =
+        ObjectKeys.section(name, request.writeId + "." + digest(newTexts.getValue(name)))
 
     /** The head that would result; [trimmed] tells what it no longer remembers. */
     fun head(): DeploymentHead =
@@ -69,6 +71,13 @@
         SectionChange(next, request.writeId, name, request.author, request.at, stored.head.sections[name])
 }
 
+private const val DIGEST_BYTES = 8
+
+private fun digest(text: String): String =
+    MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).take(DIGEST_BYTES).joinToString("") {
+        "%02x".format(it)
+    }
+
 private fun restoredSections(stored: DeploymentSnapshot, inForce: Deployment): Map<SectionName, String> {
     if (inForce.revision <= stored.head.revision) return emptyMap()
     val held = DeploymentReader.read(stored.texts, inForce.revision).deployment
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/operating/DeploymentOperations.kt
@@ -0,0 +1,111 @@
+package org.yuccajunction.entry.operating
+
+import arrow.core.Either
+import arrow.core.flatMap
+import org.yuccajunction.configuration.ChangeOutcome
+import org.yuccajunction.configuration.ChangeRequest
+import org.yuccajunction.configuration.DeploymentEditor
+import org.yuccajunction.configuration.DeploymentSnapshot
+import org.yuccajunction.configuration.DeploymentStore
+import org.yuccajunction.document.DeploymentReader
+import org.yuccajunction.document.DeploymentWriter
+import org.yuccajunction.document.OperatorRule
+import org.yuccajunction.document.SectionEdit
+import org.yuccajunction.document.SectionName
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.Finding
+import org.yuccajunction.model.InstanceId
+import org.yuccajunction.model.Revision
+import org.yuccajunction.operator.ChangeMessage
+import org.yuccajunction.operator.DeploymentText
+import org.yuccajunction.operator.HistoryReport
+import org.yuccajunction.operator.SwitchMessage
+import org.yuccajunction.operator.SwitchTarget
+
+/** Reads and changes the configuration for operators. */
+internal class DeploymentOperations(private val context: OperatorContext) {
+    private val store = DeploymentStore(context.objects)
+    private val editor = DeploymentEditor(context.objects, context.pause)
+
+    /** Returns the sections as they are stored, or, where they can't be had or are older, as in force here. */
+    suspend fun text(): DeploymentText {
+        val inForce = context.board().deployment
+        val stored = store.read().getOrNull()
+        if (stored == null || stored.head.revision < inForce.revision) {
+            return DeploymentText(inForce.revision, DeploymentWriter.write(inForce), fromStore = false)
+        }
+        return textOf(stored)
+    }
+
+    /** Returns the sections as of [revision]; a right value of null says that they are no longer kept. */
+    suspend fun text(revision: Revision): Either<String, DeploymentText?> =
+        store.read().flatMap { current ->
+            if (current.head.revision == revision) Either.Right(current) else store.read(revision)
+        }.map { it?.let(::textOf) }
+
+    suspend fun history(): Either<String, HistoryReport> =
+        store.read().map { HistoryReport(it.head.revision, it.head.changes.reversed()) }
+
+    /** Returns the revision of the stored head, null where it can't be had. */
+    suspend fun storedRevision(): Revision? = store.read().getOrNull()?.head?.revision
+
+    /** Returns the faults of the configuration that would result from [texts]. */
+    suspend fun validate(texts: Map<SectionName, String>): List<Finding> {
+        val current = text()
+        return DeploymentReader.read(current.sections + texts, current.revision.next()).findings
+    }
+
+    suspend fun change(message: ChangeMessage, operator: OperatorRule): ChangeOutcome =
+        editor.apply(requestOf(message, operator), context.board().deployment)
+
+    /** Returns whether [texts] can be read and would change who the document's operators are. */
+    suspend fun changesOperators(texts: Map<SectionName, String>): Boolean {
+        val proposed = texts[SectionName.TRAFFIC_RULES] ?: return false
+        val wanted = operatorsOf(proposed) ?: return false
+        return wanted != operatorsOf(text().sections[SectionName.TRAFFIC_RULES].orEmpty()).orEmpty()
+    }
+
+    /** Edits the section that [message] concerns, again on top of other operators' changes where they come first. */
+    suspend fun switch(message: SwitchMessage, operator: OperatorRule): Either<String, ChangeOutcome> {
+        var outcome: ChangeOutcome = ChangeOutcome.Unavailable("other operators' changes came first")
+        repeat(SWITCH_ATTEMPTS) {
+            val current = text()
+            val section = sectionOf(message.target)
+            val edited = edit(message, current.sections[section].orEmpty())
+            val text = edited.fold({ return Either.Left(it) }, { it })
+            val change = ChangeMessage(mapOf(section to text), current.revision, message.writeId)
+            outcome = change(change, operator)
+            if (outcome !is ChangeOutcome.Conflict) return Either.Right(outcome)
+        }
+        return Either.Right(outcome)
+    }
+
+    private fun edit(message: SwitchMessage, text: String): Either<String, String> =
+        when (message.target) {
+            SwitchTarget.AVAILABILITY_ZONE -> SectionEdit.takeOut(text, AvailabilityZone(message.name), message.out)
+            SwitchTarget.ENTRY -> SectionEdit.drainEntry(text, InstanceId(message.name), message.out)
+            SwitchTarget.BACKEND_SERVER ->
+                SectionEdit.drainBackendServer(text, BackendServerId(message.name), message.out)
+        }
+
+    private fun requestOf(message: ChangeMessage, operator: OperatorRule) =
+        ChangeRequest(message.sections, message.readAt, operator.name, message.writeId, context.instant())
+
+    private fun textOf(stored: DeploymentSnapshot) =
+        DeploymentText(stored.head.revision, stored.texts, stored.head.sectionRevisions)
+
+    private fun operatorsOf(text: String): List<OperatorRule>? =
+        DeploymentReader
+            .read(mapOf(SectionName.TRAFFIC_RULES to text), Revision.NONE)
+            .takeIf { it.findings.isEmpty() }
+            ?.deployment?.trafficRules?.operators
+
+    companion object {
+        private const val SWITCH_ATTEMPTS = 4
+
+        /** The section that a switch of [target] changes. */
+        fun sectionOf(target: SwitchTarget): SectionName =
+            if (target == SwitchTarget.AVAILABILITY_ZONE) SectionName.AVAILABILITY_ZONES else SectionName.TRAFFIC_RULES
+    }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/operating/OperatorsFile.kt
@@ -0,0 +1,50 @@
+package org.yuccajunction.entry.operating
+
+import com.charleskorn.kaml.Yaml
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
+import org.yuccajunction.document.OperatorRule
+import org.yuccajunction.model.Finding
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.attribute.FileTime
+
+/**
+ * The operators named in a settings file: a YAML list of [OperatorRule].
+ *
+ * The file is read again when it changes; while it can't be read, the operators last read stay known.
+ */
+public class OperatorsFile(private val path: Path) {
+    private var readAt: FileTime? = null
+    private var operators: List<OperatorRule> = emptyList()
+
+    /** Returns the operators that the file names now. */
+    @Synchronized
+    public fun operators(): List<OperatorRule> {
+        refresh()
+        return operators
+    }
+
+    /** Reads the file and returns what is wrong with it, null where nothing is. */
+    @Synchronized
+    public fun refresh(): Finding? =
+        try {
+            val modified = Files.getLastModifiedTime(path)
+            if (modified != readAt) {
+                operators = Yaml.default.decodeFromString(serializer, Files.readString(path))
+                readAt = modified
+            }
+            null
+        } catch (exception: IOException) {
+            Finding(path.toString(), "", null, "can't be read: ${exception.javaClass.simpleName}")
+        } catch (exception: SerializationException) {
+            Finding(path.toString(), "", null, exception.message ?: "is no list of operators")
+        } catch (exception: IllegalArgumentException) {
+            Finding(path.toString(), "", null, exception.message ?: "is no list of operators")
+        }
+
+    private companion object {
+        val serializer = ListSerializer(OperatorRule.serializer())
+    }
+}
--- /dev/null
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/operating/RoutingExplainer.kt
@@ -0,0 +1,65 @@
+package org.yuccajunction.entry.operating
+
+import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.operator.ExplainMessage
+import org.yuccajunction.operator.RoutingExplanation
+import org.yuccajunction.routing.Choice
+import org.yuccajunction.routing.OpenRequests
+import org.yuccajunction.routing.RoutingQuery
+import org.yuccajunction.routing.RoutingTable
+import org.yuccajunction.routing.ServerChooser
+import org.yuccajunction.routing.ServerRoute
+import kotlin.random.Random
+
+/** Explains routing choices by making them with the entry's own chooser and giving the permit back at once. */
+public class RoutingExplainer(
+    private val entry: EntryIncarnation,
+    private val table: () -> RoutingTable,
+    private val openRequests: OpenRequests,
+    private val chooser: ServerChooser,
+    private val random: Random,
+) {
+    /** Explains where the request that [message] describes would go now. */
+    public fun explain(message: ExplainMessage): RoutingExplanation {
+        val table = table()
+        val service = table.services[message.service]
+        val candidates = service?.servers.orEmpty().map(::candidate)
+        val choice = chooser.choose(queryOf(message), table, openRequests, random)
+        if (choice is Choice.Use) openRequests.release(choice.server.id)
+        return RoutingExplanation(
+            entry = entry,
+            revision = table.revision,
+            chosen = (choice as? Choice.Use)?.server?.id,
+            detail = describe(choice),
+            shares = service?.shares.orEmpty(),
+            candidates = candidates,
+        )
+    }
+
+    private fun queryOf(message: ExplainMessage) =
+        RoutingQuery(
+            service = message.service,
+            workspace = message.workspace,
+            requestClass = message.requestClass,
+            route = message.route,
+            promptTokens = message.promptTokens,
+        )
+
+    private fun candidate(server: ServerRoute) =
+        RoutingExplanation.Candidate(
+            id = server.id,
+            availabilityZone = server.availabilityZone,
+            version = server.version,
+            state = server.state,
+            openRequests = openRequests.at(server.id),
+            permits = server.permits,
+            limit = server.limit,
+            reportAgeMillis = server.report?.let { server.reportAgeMillis },
+        )
+
+    private fun describe(choice: Choice): String =
+        when (choice) {
+            is Choice.Use -> "goes to ${choice.server.id} in ${choice.server.availabilityZone}"
+            is Choice.Refuse -> "is refused (${choice.reason.code}), again in ${choice.retryAfter}: ${choice.detail}"
+        }
+}
