--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -32,8 +32,8 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.PlatformInstance
 import org.yuccajunction.model.Revision
+import org.yuccajunction.routing.LoadBoundedServerChooser
 import org.yuccajunction.routing.OpenRequests
-import org.yuccajunction.routing.TwoChoiceServerChooser
 import java.util.concurrent.CountDownLatch
 import kotlin.random.Random
 import kotlin.random.asKotlinRandom
@@ -137,7 +137,7 @@
             self = self,
             callerEndpoint = callerEndpoint(),
             table = { control.table },
-            chooser = TwoChoiceServerChooser(),
+            chooser = LoadBoundedServerChooser(),
             openRequests = OpenRequests(),
             ports = ServingPorts(outside.engine, outside.application, outside.peers, outside.objects),
             observe = control::observe,
