Announce the identity epoch and the successor of an entry to its peers

Change: MembershipController announces the epoch that LoadMeasured carries; the entry process posts the successor that took over its records and waits for a round of heartbeats before it ends.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
@@ -66,7 +66,9 @@
 
     private fun onLoad(board: Blackboard, event: ControlEvent.LoadMeasured): Blackboard {
         val load = event.openRequests.toDouble() / event.limit.coerceAtLeast(1)
-        return board.copy(membership = board.membership.copy(load = load.coerceIn(0.0, 1.0)))
+        val measured = board.copy(membership = board.membership.copy(load = load.coerceIn(0.0, 1.0)))
+        if (event.identityEpoch == board.membership.self.identityEpoch) return measured
+        return measured.announcing { it.copy(identityEpoch = event.identityEpoch) }
     }
 
     private fun onHandOver(board: Blackboard, event: ControlEvent.HandOverAnswered): Blackboard =
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -98,7 +98,7 @@
         control.post(ControlEvent.ShutdownAnnounced(notice))
         runBlocking {
             outside.instances.register(platformInstance(leaving = true))
-            callerServer.drain(notice - STOP_RESERVE)
+            callerServer.drain(notice - STOP_RESERVE - SPREAD_TIME)?.let { announceSuccessor(it) }
             outside.instances.deregister(settings.instanceId)
         }
         callerServer.stop()
@@ -111,6 +111,12 @@
         ended.countDown()
     }
 
+    /** Lets the other entries hear who answers for this one's records from now on. */
+    private suspend fun announceSuccessor(successor: EntryIncarnation) {
+        control.post(ControlEvent.HandOverAnswered(successor, accepted = true))
+        delay(SPREAD_TIME)
+    }
+
     private fun isReady(): Boolean {
         val board = control.board
         return board.deployment.revision > Revision.NONE && !board.membership.self.leaving
@@ -191,6 +197,7 @@
         val READY_POLL: Duration = 20.milliseconds
         val REGISTRATION_RETRY: Duration = 500.milliseconds
         val LOAD_INTERVAL: Duration = 1.seconds
+        val SPREAD_TIME: Duration = 1_500.milliseconds
         val STOP_RESERVE: Duration = 1.seconds
         val PEER_STOP_TIMEOUT: Duration = 500.milliseconds
     }
