--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/RetryBudget.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/RetryBudget.kt
@@ -1,7 +1,7 @@
 package org.yuccajunction.traffic
 
 import org.yuccajunction.model.MonotonicTime
-import kotlin.time.DurationUnit
+import kotlin.math.roundToLong
 
 /**
  * Bounds the retries of one entry to a share of its traffic, with a small floor over time.
@@ -9,21 +9,21 @@
  * Safe for use from every traffic thread.
  */
 public class RetryBudget(startedAt: MonotonicTime) {
-    private var tokens = FLOOR_CAPACITY
+    private var thousandths = FLOOR_CAPACITY
     private var refilledAt = startedAt
 
     /** Adds the [share] of a retry that one new request earns. */
     @Synchronized
     public fun deposit(share: Double) {
-        tokens = minOf(CAPACITY, tokens + share)
+        thousandths = minOf(CAPACITY, thousandths + (share * ONE).roundToLong())
     }
 
     /** Takes one retry; returns false where the budget is spent. */
     @Synchronized
     public fun tryWithdraw(now: MonotonicTime): Boolean {
         refill(now)
-        if (tokens < 1.0) return false
-        tokens -= 1.0
+        if (thousandths < ONE) return false
+        thousandths -= ONE
         return true
     }
 
@@ -31,19 +31,20 @@
     @Synchronized
     public fun withdraw(now: MonotonicTime) {
         refill(now)
-        tokens = maxOf(-CAPACITY, tokens - 1.0)
+        thousandths = maxOf(-CAPACITY, thousandths - ONE)
     }
 
     private fun refill(now: MonotonicTime) {
         if (now <= refilledAt) return
-        val earned = (now - refilledAt).toDouble(DurationUnit.SECONDS) * FLOOR_PER_SECOND
-        if (tokens < FLOOR_CAPACITY) tokens = minOf(FLOOR_CAPACITY, tokens + earned)
+        val earned = (now - refilledAt).inWholeMilliseconds * FLOOR_PER_SECOND
+        if (thousandths < FLOOR_CAPACITY) thousandths = minOf(FLOOR_CAPACITY, thousandths + earned)
         refilledAt = now
     }
 
     private companion object {
-        const val CAPACITY = 100.0
-        const val FLOOR_CAPACITY = 10.0
-        const val FLOOR_PER_SECOND = 2.0
+        const val ONE = 1_000L
+        const val CAPACITY = 100 * ONE
+        const val FLOOR_CAPACITY = 10 * ONE
+        const val FLOOR_PER_SECOND = 2L
     }
 }
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/traffic/CallMachineTest.kt
@@ -0,0 +1,70 @@
+package org.yuccajunction.traffic
+
+import org.yuccajunction.model.Ending
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.ServiceKind
+import org.yuccajunction.port.ApplicationOutcome
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class CallMachineTest {
+    private val fixture = TrafficFixture(ServiceKind.APPLICATION, servers = 2)
+    private val start = MonotonicTime.ZERO
+    private val once = fixture.call(idempotent = false)
+    private val repeatable = fixture.call(idempotent = true)
+
+    @Test
+    fun `an unclear ending of a call that is not idempotent is final`() {
+        once.handle(RequestEvent.Arrived, start)
+        val commands = once.handle(RequestEvent.Broken(1, "reset"), start)
+        assertTrue(commands.none { it is RequestCommand.Dispatch })
+        assertIs<Ending.OutcomeUnknown>(commands.ending())
+    }
+
+    @Test
+    fun `a call that was not run goes to another server and a later refusal is true`() {
+        once.handle(RequestEvent.Arrived, start)
+        val retry = once.handle(RequestEvent.NotRun(1, "full", unreachable = false), start)
+        assertTrue(retry.any { it is RequestCommand.Dispatch })
+        val end = once.handle(RequestEvent.NotRun(2, "full", unreachable = false), start)
+        assertIs<Ending.Refused>(end.ending())
+    }
+
+    @Test
+    fun `a refusal after an unclear attempt says unknown`() {
+        repeatable.handle(RequestEvent.Arrived, start)
+        repeatable.handle(RequestEvent.Broken(1, "reset"), start)
+        val end = repeatable.handle(RequestEvent.NotRun(2, "full", unreachable = false), start)
+        assertIs<Ending.OutcomeUnknown>(end.ending())
+    }
+
+    @Test
+    fun `a failure of the application is passed on where the call may not be repeated`() {
+        once.handle(RequestEvent.Arrived, start)
+        val commands = once.handle(RequestEvent.CallAnswered(1, answered(500)), start)
+        assertEquals(500, commands.filterIsInstance<RequestCommand.Answer>().single().answer.status)
+    }
+
+    @Test
+    fun `a failure is retried where the call may be repeated, and passed on when that fails too`() {
+        repeatable.handle(RequestEvent.Arrived, start)
+        val retry = repeatable.handle(RequestEvent.CallAnswered(1, answered(500)), start)
+        assertTrue(retry.any { it is RequestCommand.Dispatch })
+        val end = repeatable.handle(RequestEvent.NotRun(2, "full", unreachable = false), start)
+        assertEquals(500, end.filterIsInstance<RequestCommand.Answer>().single().answer.status)
+    }
+
+    @Test
+    fun `silence ends a call that is not idempotent as unknown`() {
+        once.handle(RequestEvent.Arrived, start)
+        assertEquals(emptyList(), once.handle(RequestEvent.Ticked, start + 5.seconds))
+        assertIs<Ending.OutcomeUnknown>(once.handle(RequestEvent.Ticked, start + 6.seconds).ending())
+    }
+
+    private fun List<RequestCommand>.ending() = filterIsInstance<RequestCommand.End>().single().ending
+
+    private fun answered(status: Int) = ApplicationOutcome.Answered(status, emptyList(), ByteArray(0))
+}
