--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryStateReport.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryStateReport.kt
@@ -29,7 +29,11 @@
         public val suspected: Boolean,
     )
 
-    /** One backend server, as this entry sees it. */
+    /**
+     * One backend server, as this entry sees it.
+     *
+     * @property permits requests that this entry may have open at the server
+     */
     @Serializable
     public data class ServerReport(
         public val id: String,
@@ -37,6 +41,7 @@
         public val version: String,
         public val availabilityZone: String,
         public val state: ServerState,
+        public val permits: Int = 0,
     )
 
     public companion object {
@@ -56,6 +61,7 @@
                         version = server.instance.version?.value.orEmpty(),
                         availabilityZone = server.instance.availabilityZone.value,
                         state = server.state,
+                        permits = server.permits(board.now),
                     )
                 },
                 leases = board.leases.held.keys.toList(),
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/RunningDeployment.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/RunningDeployment.kt
@@ -3,7 +3,9 @@
 import org.yuccajunction.configuration.DeploymentHead
 import org.yuccajunction.configuration.ObjectKeys
 import org.yuccajunction.document.Deployment
+import org.yuccajunction.entry.EntryStateReport
 import org.yuccajunction.model.Revision
+import org.yuccajunction.routing.ServerState
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -103,17 +105,24 @@
     /** Writes the deployment that [change] makes of the last one. */
     fun change(change: (Deployment) -> Deployment): Revision = apply(change(deployment))
 
-    /** Waits until every entry has [expected] in force and knows every server and every other entry. */
-    fun awaitReady(expected: Revision = revision, within: Duration = 15.seconds) {
-        val serverCount = models.size + applications.size
+    /** Waits until every entry has [expected] in force and may use a warm server of every service. */
+    fun awaitReady(expected: Revision = revision, within: Duration = 20.seconds) {
         entries.filter { it.process.isAlive }.forEach { entry ->
             eventually(within, { "${entry.id}: ${entry.stateOrNull()}\n${entry.process.lines.takeLast(20)}" }) {
                 val state = entry.stateOrNull()
                 entry.isReady() && state != null && state.revision >= expected &&
-                    state.servers.size >= serverCount && state.peers.size >= entries.size - 1
+                    state.peers.size >= entries.size - 1 && state.servesEverything()
             }
         }
     }
 
+    private fun EntryStateReport.servesEverything(): Boolean {
+        val cold = plan.models.filter { it.settings.coldMillis > 0 }.map { it.name } +
+            plan.applications.filter { it.settings.coldMillis > 0 }.map { it.name }
+        val started = (models + applications).mapNotNull { it.instance.service?.value }.toSet()
+        val usable = servers.filter { it.permits > 0 && it.state == ServerState.READY }.map { it.service }.toSet()
+        return servers.size >= models.size + applications.size && usable.containsAll(started - cold.toSet())
+    }
+
     override fun close() = processes.close()
 }
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/Starter.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/Starter.kt
@@ -75,9 +75,9 @@
         listOf(
             "--instance-id" to id,
             "--availability-zone" to zone,
-            "--caller-listen" to "127.0.0.1:0",
-            "--peer-listen" to "127.0.0.1:0",
-            "--operator-listen" to "127.0.0.1:0",
+            "--caller-listen" to "127.0.0.1:${FreePorts.next()}",
+            "--peer-listen" to "127.0.0.1:${FreePorts.next()}",
+            "--operator-listen" to "127.0.0.1:${FreePorts.next()}",
             "--platform-url" to platformUrl,
             "--shutdown-notice-seconds" to "${plan.shutdownNoticeSeconds}",
         ).flatMap { it.toList() }
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/TestCaller.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/TestCaller.kt
@@ -62,7 +62,7 @@
         onToken: (StreamEvents) -> Unit = {},
     ): DraftAttempt {
         val headers = listOfNotNull(
-            requestId?.let { "X-Request-Id" to it },
+            requestId?.let { "Yucca-Request-Id" to it },
             lastEventId?.let { "Last-Event-ID" to it },
         ).toMap()
         val request = request(entry, "POST", "/v1/chat/completions", body(order, held), headers)
@@ -87,7 +87,7 @@
         val request = request(entry, method, "/apps/$service$target", body, headers)
         return try {
             val response = client.send(request, HttpResponse.BodyHandlers.ofString())
-            val id = response.headers().firstValue("X-Request-Id").orElse(null)
+            val id = response.headers().firstValue("Yucca-Request-Id").orElse(null)
             CallAttempt(response.statusCode(), response.body(), id, problem(response, response.body()))
         } catch (exception: IOException) {
             CallAttempt(0, exception.toString(), null, null)
