Name an entry to callers only once it can serve

Cause: WholePathIT got a refusal (no-backend-server) from an entry that said it was ready: shares of backend servers settle for four seconds after the first listing, while readiness looked at the configuration only. Change: readiness waits for a usable server of every service that has servers; entries tell each other that they are starting, and address answers leave them out.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlEvent.kt
@@ -54,8 +54,19 @@
     /** This entry's instance is to be shut down within [remaining]. */
     public data class ShutdownAnnounced(public val remaining: Duration) : ControlEvent
 
-    /** Traffic threads report this entry's open requests and its limit. */
-    public data class LoadMeasured(public val openRequests: Int, public val limit: Int) : ControlEvent
+    /**
+     * The daemon reports this entry's own state.
+     *
+     * @property openRequests requests open now, of at most [limit]
+     * @property identityEpoch the newest identity epoch handed out
+     * @property starting whether the entry can't serve yet
+     */
+    public data class LoadMeasured(
+        public val openRequests: Int,
+        public val limit: Int,
+        public val identityEpoch: Long = 0,
+        public val starting: Boolean = false,
+    ) : ControlEvent
 
     /** The answer to [ControlCommand.ReadObject]. */
     public data class ObjectRead(public val key: String, public val reading: ObjectReading) : ControlEvent
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
@@ -66,7 +66,10 @@
 
     private fun onLoad(board: Blackboard, event: ControlEvent.LoadMeasured): Blackboard {
         val load = event.openRequests.toDouble() / event.limit.coerceAtLeast(1)
-        return board.copy(membership = board.membership.copy(load = load.coerceIn(0.0, 1.0)))
+        val measured = board.copy(membership = board.membership.copy(load = load.coerceIn(0.0, 1.0)))
+        val self = board.membership.self
+        val reported = self.copy(identityEpoch = event.identityEpoch, starting = event.starting)
+        return if (reported == self) measured else measured.announcing { reported }
     }
 
     private fun onHandOver(board: Blackboard, event: ControlEvent.HandOverAnswered): Blackboard =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -136,7 +136,7 @@
 private fun entries(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentList<EntryAddress> {
     val peers = board.membership.peers.values.filterNot { it.suspected }.map { it.state }
     return (listOf(board.membership.self) + peers)
-        .filterNot { it.leaving || it.availabilityZone in takenOut }
+        .filterNot { it.starting || it.leaving || it.availabilityZone in takenOut }
         .map { it.address() }
         .toPersistentList()
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/EntryState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/EntryState.kt
@@ -11,6 +11,7 @@
  *
  * @property beat grows with every change that the entry tells of; the larger one of the same incarnation is newer
  * @property leaving whether the entry takes no new work
+ * @property starting whether the entry can't serve yet: it has no configuration or no usable backend servers
  * @property load open requests over the entry's limit, from 0 to 1
  * @property identityEpoch the newest identity epoch of the entry
  * @property successor the entry that took over this one's records, null while there is none
@@ -24,6 +25,7 @@
     public val peerEndpoint: Endpoint,
     public val revision: Revision,
     public val leaving: Boolean = false,
+    public val starting: Boolean = false,
     public val load: Double = 0.0,
     public val identityEpoch: Long = 0,
     public val successor: EntryIncarnation? = null,
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryPeerHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryPeerHandler.kt
@@ -10,16 +10,18 @@
 import org.yuccajunction.port.PeerHandler
 import org.yuccajunction.record.HandOver
 import org.yuccajunction.record.RecordAnswer
+import kotlin.random.Random
 
 /** Answers other entries: control questions from the blackboard, requests from the serving side. */
 public class EntryPeerHandler(
     private val control: ControlThread,
     private val membership: MembershipController,
     private val serving: ServingPeerHandler,
+    private val random: Random,
 ) : PeerHandler {
     override suspend fun beat(heartbeat: Heartbeat): Heartbeat {
         control.post(ControlEvent.HeartbeatReceived(heartbeat))
-        return membership.heartbeat(control.board)
+        return membership.answer(control.board, heartbeat, random)
     }
 
     override suspend fun deployment(): Deployment = control.board.deployment
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -20,6 +20,10 @@
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.control.MembershipController
 import org.yuccajunction.control.ServerController
+import org.yuccajunction.entry.operating.OperatorContext
+import org.yuccajunction.entry.operating.OperatorsFile
+import org.yuccajunction.entry.operating.RoutingExplainer
+import org.yuccajunction.entry.operating.operatorApi
 import org.yuccajunction.entry.serving.CallerServer
 import org.yuccajunction.entry.serving.ServingContext
 import org.yuccajunction.entry.serving.ServingLimits
@@ -34,6 +38,7 @@
 import org.yuccajunction.model.Revision
 import org.yuccajunction.routing.LoadBoundedServerChooser
 import org.yuccajunction.routing.OpenRequests
+import java.time.Instant
 import java.util.concurrent.CountDownLatch
 import kotlin.random.Random
 import kotlin.random.asKotlinRandom
@@ -50,18 +55,24 @@
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val outside = OutsideSystems(settings)
     private val membership = MembershipController()
+    private val chooser = LoadBoundedServerChooser()
+    private val openRequests = OpenRequests()
+    private val operators = settings.operatorsFile?.let(::OperatorsFile)
     private val callerPort = PortReservation.of(settings.callerListen)
     private val peerPort = PortReservation.of(settings.peerListen)
     private val control: ControlThread = createControl()
+    private val readiness = Readiness(control)
     private val callerServer = CallerServer(callerPort.release(), servingContext())
     private val peerServer =
         GrpcPeerServer(
             peerPort.release(),
-            EntryPeerHandler(control, membership, callerServer.peerHandler),
+            EntryPeerHandler(control, membership, callerServer.peerHandler, random),
             outside.peerTraffic,
         )
     private val operatorServer =
-        OperatorServer(settings.operatorListen, { control.board }, ::isReady, meters) {}
+        OperatorServer(settings.operatorListen, {
+            control.board
+        }, { readiness.isReady }, meters) { operatorApi(operatorContext()) }
     private val ended = CountDownLatch(1)
     private lateinit var operatorEndpoint: Endpoint
 
@@ -83,7 +94,7 @@
 
     /** Waits until a configuration is in force here. */
     public fun awaitReady() {
-        while (!isReady() && ended.count > 0) Thread.sleep(READY_POLL.inWholeMilliseconds)
+        while (!readiness.isReady && ended.count > 0) Thread.sleep(READY_POLL.inWholeMilliseconds)
     }
 
     /** Waits until [shutDown] has finished. */
@@ -111,11 +122,6 @@
         ended.countDown()
     }
 
-    private fun isReady(): Boolean {
-        val board = control.board
-        return board.deployment.revision > Revision.NONE && !board.membership.self.leaving
-    }
-
     private fun createControl(): ControlThread {
         val controllers =
             persistentListOf(
@@ -151,6 +157,17 @@
             meters = meters,
         )
 
+    private fun operatorContext(): OperatorContext =
+        OperatorContext(
+            board = { control.board },
+            objects = outside.objects,
+            openRequests = openRequests,
+            explain = RoutingExplainer(self, { control.table }, openRequests, chooser, random)::explain,
+            operators = { operators?.operators().orEmpty() },
+            instant = { Instant.now().toString() },
+            pause = { attempt -> delay(random.nextLong(1, EDIT_PAUSE_MILLIS * attempt).milliseconds) },
+        )
+
     private fun initialState(): EntryState =
         EntryState(
             entry = self,
@@ -159,6 +176,7 @@
             callerEndpoint = callerEndpoint(),
             peerEndpoint = peerEndpoint(),
             revision = Revision.NONE,
+            starting = true,
         )
 
     private fun callerEndpoint(): Endpoint = settings.callerAdvertise ?: callerPort.endpoint
@@ -179,17 +197,26 @@
         while (!outside.instances.register(platformInstance(leaving = false))) delay(REGISTRATION_RETRY)
     }
 
+    private fun loadMeasured() =
+        ControlEvent.LoadMeasured(
+            openRequests = callerServer.openRequests,
+            limit = settings.openRequestLimit,
+            identityEpoch = callerServer.identityEpoch,
+            starting = readiness.isStarting,
+        )
+
     private suspend fun reportLoad() {
         while (scope.isActive) {
-            control.post(ControlEvent.LoadMeasured(callerServer.openRequests, settings.openRequestLimit))
+            control.post(loadMeasured())
             delay(LOAD_INTERVAL)
         }
     }
 
     private companion object {
+        const val EDIT_PAUSE_MILLIS = 100L
         val READY_POLL: Duration = 20.milliseconds
         val REGISTRATION_RETRY: Duration = 500.milliseconds
-        val LOAD_INTERVAL: Duration = 1.seconds
+        val LOAD_INTERVAL: Duration = 500.milliseconds
         val STOP_RESERVE: Duration = 1.seconds
         val PEER_STOP_TIMEOUT: Duration = 500.milliseconds
     }
