--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/AdaptiveLimit.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/AdaptiveLimit.kt
@@ -6,8 +6,8 @@
 /**
  * Shrinks this entry's share of one server while too many requests miss the latency target, and lets it grow back.
  *
- * Additive increase, multiplicative decrease; until the first decrease it grows by half at a time. The factor never exceeds 1, so that the shares of all entries together
- * never exceed the server's configured limit.
+ * Additive increase, multiplicative decrease; until the first decrease it grows by half at a time. The factor never
+ * exceeds 1, so that the shares of all entries together never exceed the server's configured limit.
  *
  * @property factor part of the share that may be used, from 0 to 1
  * @property starting whether the share has not been shrunk since the server became ready
