--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingState.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import org.yuccajunction.record.HandedRecords
+import org.yuccajunction.record.RecordTable
 import org.yuccajunction.traffic.RetryBudget
 import org.yuccajunction.traffic.TrafficEnvironment
 import java.util.concurrent.atomic.AtomicInteger
@@ -19,10 +20,16 @@
     val identities = Identities(context.self, context.clock, context.random)
     val meters = ServingMeters(context.meters)
     val problems = Problems(context)
+    val records = RecordTable(context.self, context.limits.records)
     val handedRecords = HandedRecords(context.limits.records)
     val streams = HeldStreams()
+
+    /** Runs that hold a place of this entry. */
     val open = AtomicInteger()
 
+    /** Requests of callers whose answers are not sent yet. */
+    val answering = AtomicInteger()
+
     @Volatile
     var phase: ServingPhase = ServingPhase.SERVING
 }
