Add the operators' command line

Change: yuccajunctionctl gets, validates, compares and applies the document or one section, tells history, status and instances, takes zones out, drains instances, explains choices and waits. A change whose answer is lost is told again under the same write id, at another entry where one is given. Plain text leaves loopback only where asked for. Check: CommandLineTest, CtlSettingsTest, LineDiffTest.

--- /dev/null
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/Console.kt
@@ -0,0 +1,46 @@
+package org.yuccajunction.ctl
+
+/**
+ * What the command line writes: results to [output], progress and errors to [errors].
+ *
+ * @property terminal whether [errors] is a terminal that shows progress in place and colours
+ */
+public class Console(
+    private val output: (String) -> Unit,
+    private val errors: (String) -> Unit,
+    private val terminal: Boolean,
+) {
+    private var shown = ""
+
+    /** Writes a result, which ends with a line break. */
+    public fun print(text: String) {
+        output(text.trimEnd('\n') + "\n")
+    }
+
+    /** Writes an error. */
+    public fun error(text: String) {
+        endProgress()
+        errors(colour(RED, text.trimEnd('\n')) + "\n")
+    }
+
+    /** Shows how far a wait has come: in place on a terminal, else a line for each change. */
+    public fun progress(text: String) {
+        if (text == shown) return
+        errors(if (terminal) CLEAR_LINE + text else text + "\n")
+        shown = text
+    }
+
+    /** Ends the line that [progress] wrote. */
+    public fun endProgress() {
+        if (terminal && shown.isNotEmpty()) errors("\n")
+        shown = ""
+    }
+
+    private fun colour(code: String, text: String) = if (terminal) code + text + RESET else text
+
+    private companion object {
+        const val CLEAR_LINE = "\r\u001b[2K"
+        const val RED = "\u001b[31m"
+        const val RESET = "\u001b[0m"
+    }
+}
--- /dev/null
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/CtlCommand.kt
@@ -0,0 +1,51 @@
+package org.yuccajunction.ctl
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import org.yuccajunction.document.SectionName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** One command of the command line; parsing only remembers that it was chosen. */
+@OptIn(ExperimentalCli::class)
+internal abstract class CtlCommand(name: String, description: String) : Subcommand(name, description) {
+    /** Whether the arguments named this command. */
+    var chosen: Boolean = false
+        private set
+
+    /** Whether the command needs no entry. */
+    open val offline: Boolean get() = false
+
+    override fun execute() {
+        chosen = true
+    }
+
+    /** Carries out the command. */
+    abstract suspend fun run(session: CtlSession): ExitCode
+
+    /** Declares an option that names a section. */
+    protected fun sectionOption() =
+        option(
+            ArgType.Choice(SectionName.entries, { key -> SectionName.entries.first { it.key == key } }, { it.key }),
+            "section",
+            "s",
+            "One section only",
+        )
+
+    /** Declares the option to wait. */
+    protected fun waitOption() =
+        option(ArgType.Boolean, "wait", "w", "Wait until every entry reports it, or say which does not").default(false)
+
+    /** Declares the option that bounds a wait. */
+    protected fun timeoutOption() =
+        option(ArgType.Int, "timeout", null, "Longest wait, in seconds").default(DEFAULT_WAIT_SECONDS)
+
+    /** Returns the longest wait, null where none was asked for. */
+    protected fun waitOf(wait: Boolean, timeout: Int): Duration? = timeout.seconds.takeIf { wait }
+
+    private companion object {
+        const val DEFAULT_WAIT_SECONDS = 30
+    }
+}
--- /dev/null
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/DocumentCommands.kt
@@ -0,0 +1,87 @@
+package org.yuccajunction.ctl
+
+import arrow.core.getOrElse
+import org.yuccajunction.document.DeploymentDocument
+import org.yuccajunction.document.DeploymentReader
+import org.yuccajunction.document.SectionName
+import org.yuccajunction.model.Finding
+import org.yuccajunction.model.Revision
+import org.yuccajunction.operator.DeploymentText
+import org.yuccajunction.operator.HistoryReport
+import org.yuccajunction.operator.OperatorPaths
+import org.yuccajunction.operator.SectionTexts
+import org.yuccajunction.operator.ValidationReport
+
+/** Commands that read the document and compare files with it. */
+internal class DocumentCommands(private val session: CtlSession) {
+    /** Writes the document or one section, with its revision in the first line. */
+    suspend fun get(section: SectionName?, revision: Long?): ExitCode {
+        val path = OperatorPaths.DEPLOYMENT + revision?.let { "?revision=$it" }.orEmpty()
+        return session.with(session.client.get(path, DeploymentText.serializer())) { text ->
+            if (!text.fromStore) session.console.error("the object API can't be had: this is what is in force")
+            session.show(DeploymentText.serializer(), text) { textOf(it, section) }
+            ExitCode.DONE
+        }
+    }
+
+    /** Tells the findings of a file, alone or on top of what is in force. */
+    suspend fun validate(path: String, section: SectionName?, offline: Boolean): ExitCode {
+        val file = DocumentFile.read(path, section).getOrElse { return usage(it) }
+        if (offline) {
+            val findings = file.findings + DeploymentReader.read(file.texts, Revision.NONE).findings
+            return tellFindings(findings.map(file::place))
+        }
+        val texts = SectionTexts(file.texts)
+        val reply = session.client.post(
+            OperatorPaths.VALIDATION,
+            SectionTexts.serializer(),
+            texts,
+            ValidationReport.serializer(),
+        )
+        return session.with(reply) { tellFindings((file.findings + it.findings).map(file::place)) }
+    }
+
+    /** Writes the lines in which a file differs from what is in force. */
+    suspend fun diff(path: String, section: SectionName?): ExitCode {
+        val file = DocumentFile.read(path, section).getOrElse { return usage(it) }
+        return session.with(session.client.get(OperatorPaths.DEPLOYMENT, DeploymentText.serializer())) { current ->
+            val differences = file.texts
+                .mapValues { (name, text) -> LineDiff.of(current.sections[name].orEmpty(), text) }
+                .filterValues { it.isNotEmpty() }
+            differences.forEach { (name, lines) ->
+                session.console.print("@@ ${name.key}\n" + lines.joinToString("\n"))
+            }
+            if (differences.isEmpty()) ExitCode.DONE else ExitCode.DIFFERENT
+        }
+    }
+
+    /** Writes the newest accepted changes. */
+    suspend fun history(): ExitCode =
+        session.with(session.client.get(OperatorPaths.HISTORY, HistoryReport.serializer())) { history ->
+            session.show(HistoryReport.serializer(), history) { report ->
+                val rows = report.changes.map { listOf("${it.revision}", it.at, it.author, it.section.key) }
+                TextTable.of(listOf("REVISION", "AT", "AUTHOR", "SECTION"), rows)
+            }
+            ExitCode.DONE
+        }
+
+    private fun textOf(text: DeploymentText, section: SectionName?): String {
+        val body = if (section == null) DeploymentDocument.join(text.sections) else text.sections[section].orEmpty()
+        return DocumentFile.header(text.revision) + "\n" + body
+    }
+
+    private fun tellFindings(findings: List<Finding>): ExitCode {
+        if (session.json) {
+            session.show(ValidationReport.serializer(), ValidationReport(findings)) { "" }
+        } else {
+            session.tell(findings)
+            if (findings.isEmpty()) session.console.print("no findings")
+        }
+        return if (findings.isEmpty()) ExitCode.DONE else ExitCode.INVALID
+    }
+
+    private fun usage(detail: String): ExitCode {
+        session.console.error(detail)
+        return ExitCode.USAGE
+    }
+}
--- /dev/null
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/DocumentFile.kt
@@ -0,0 +1,57 @@
+package org.yuccajunction.ctl
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.yuccajunction.document.DeploymentDocument
+import org.yuccajunction.document.DocumentReading
+import org.yuccajunction.document.SectionName
+import org.yuccajunction.document.SectionText
+import org.yuccajunction.model.Finding
+import org.yuccajunction.model.Revision
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/**
+ * A file that holds the whole document or one section.
+ *
+ * @property readAt the revision that the first line names, as [header] writes it; null where it names none
+ */
+internal class DocumentFile(val readAt: Revision?, private val reading: DocumentReading) {
+    /** The texts of the sections that the file holds. */
+    val texts: Map<SectionName, String> get() = reading.sections.mapValues { it.value.text }
+
+    /** Findings about the file itself. */
+    val findings: List<Finding> get() = reading.findings
+
+    /** Tells [finding], which counts lines in its section, by the line in the file. */
+    fun place(finding: Finding): Finding {
+        val section = SectionName.of(finding.section)?.let { reading.sections[it] } ?: return finding
+        return finding.copy(line = finding.line?.let { it + section.firstLine - 1 })
+    }
+
+    companion object {
+        private val headerPattern = Regex("# revision: ([0-9]+)")
+
+        /** The first line of a file that holds what was read at [revision]. */
+        fun header(revision: Revision): String = "# revision: $revision"
+
+        /** Reads [path]; the whole of it is [section] where one is given. */
+        fun read(path: String, section: SectionName?): Either<String, DocumentFile> =
+            try {
+                val text = Files.readString(Path.of(path))
+                val readAt = headerPattern.matchAt(text, 0)?.groupValues?.get(1)?.toLongOrNull()?.let(::Revision)
+                val reading = if (section == null) DeploymentDocument.split(text) else whole(section, text)
+                DocumentFile(readAt, reading).right()
+            } catch (exception: IOException) {
+                "$path can't be read: ${exception.javaClass.simpleName}".left()
+            }
+
+        private fun whole(section: SectionName, text: String): DocumentReading {
+            val withoutHeader = if (headerPattern.matchesAt(text, 0)) text.substringAfter('\n', "") else text
+            val firstLine = if (withoutHeader.length < text.length) 2 else 1
+            return DocumentReading(mapOf(section to SectionText(withoutHeader, firstLine)), emptyList())
+        }
+    }
+}
--- /dev/null
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/Reply.kt
@@ -0,0 +1,17 @@
+package org.yuccajunction.ctl
+
+/** What came back from the operator port. */
+public sealed interface Reply<out T> {
+    /** The entry answered with [value]. */
+    public data class Answer<T>(public val value: T) : Reply<T>
+
+    /** The entry refused the request. */
+    public data class Refused(public val status: Int, public val detail: String) : Reply<Nothing>
+
+    /**
+     * No entry answered.
+     *
+     * @property mayHaveRun whether an entry may have taken the request
+     */
+    public data class Unreachable(public val detail: String, public val mayHaveRun: Boolean) : Reply<Nothing>
+}
--- /dev/null
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/StatusCommands.kt
@@ -0,0 +1,60 @@
+package org.yuccajunction.ctl
+
+import kotlinx.serialization.builtins.ListSerializer
+import org.yuccajunction.model.Revision
+import org.yuccajunction.operator.ExplainMessage
+import org.yuccajunction.operator.InstanceReport
+import org.yuccajunction.operator.OperatorPaths
+import org.yuccajunction.operator.RoutingExplanation
+import org.yuccajunction.operator.StatusReport
+import kotlin.time.Duration
+
+/** Commands that read the state of the system. */
+internal class StatusCommands(private val session: CtlSession) {
+    /** Writes the status, or waits for [move], for [revision], or for the newest revision where both are null. */
+    suspend fun status(move: String?, revision: Long?, wait: Duration?): ExitCode =
+        session.with(session.client.get(OperatorPaths.STATUS, StatusReport.serializer())) { status ->
+            val code = when {
+                wait == null -> ExitCode.DONE
+                move != null -> Waiting(session).forMove(move, wait)
+                else -> Waiting(session).forRevision(revision?.let(::Revision) ?: status.revision, wait)
+            }
+            val after = if (wait == null) status else newest(status)
+            session.show(StatusReport.serializer(), after, StatusText::status)
+            code
+        }
+
+    /** Writes what each of the given entries believes of every instance. */
+    suspend fun instances(): ExitCode {
+        val reports = mutableListOf<InstanceReport>()
+        var code = ExitCode.DONE
+        for (entry in session.client.entries) {
+            code = session.with(session.client.get(entry, OperatorPaths.INSTANCES, InstanceReport.serializer())) {
+                reports += it
+                code
+            }
+        }
+        if (reports.isEmpty()) return code
+        session.show(ListSerializer(InstanceReport.serializer()), reports, StatusText::instances)
+        return code
+    }
+
+    /** Writes where the request that [message] describes would go, and why. */
+    suspend fun explain(message: ExplainMessage): ExitCode {
+        val reply = session.client.post(
+            OperatorPaths.EXPLANATIONS,
+            ExplainMessage.serializer(),
+            message,
+            RoutingExplanation.serializer(),
+        )
+        return session.with(reply) {
+            session.show(RoutingExplanation.serializer(), it, StatusText::explanation)
+            ExitCode.DONE
+        }
+    }
+
+    private suspend fun newest(before: StatusReport): StatusReport {
+        val reply = session.client.get(OperatorPaths.STATUS, StatusReport.serializer())
+        return (reply as? Reply.Answer)?.value ?: before
+    }
+}
