--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Admission.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/Admission.kt
@@ -4,7 +4,9 @@
 import io.ktor.server.application.ApplicationCall
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.RefusalReason
+import org.yuccajunction.model.WorkspaceId
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /** Checks who calls and whether there is room for one more request. */
 internal class Admission(private val state: ServingState) {
@@ -49,9 +51,18 @@
         return null
     }
 
+    /** Takes one place beyond every limit, for a request that another entry has accepted. */
+    fun takeAccepted(workspace: WorkspaceId) {
+        state.open.incrementAndGet()
+        state.context.openRequests.tryAcquire(workspace, Int.MAX_VALUE)
+    }
+
     /** Returns what [take] took. */
-    fun release(rule: WorkspaceRule) {
-        state.context.openRequests.release(rule.name)
+    fun release(rule: WorkspaceRule) = release(rule.name)
+
+    /** Returns what [take] or [takeAccepted] took. */
+    fun release(workspace: WorkspaceId) {
+        state.context.openRequests.release(workspace)
         state.open.decrementAndGet()
     }
 }
@@ -59,5 +70,8 @@
 private const val BEARER = "Bearer "
 
 /** Returns the SHA-256 of [text] in lower-case hexadecimal. */
-internal fun sha256(text: String): String =
-    MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).joinToString("") { "%02x".format(it) }
+internal fun sha256(text: String): String = sha256(text.toByteArray())
+
+/** Returns the SHA-256 of [bytes] in lower-case hexadecimal. */
+internal fun sha256(bytes: ByteArray): String =
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes))
