Move versions by evidence and take bad ones back

Cause: nothing compared a new version with the one beside it, and shares were fixed to the configured version. Change: each entry compares failures and, under the same number of open requests, latencies per route, and vetoes locally by a cumulative sum of log likelihood ratios; counts and vetoes travel with heartbeats, so that faults too rare for one entry are found by all together; the holder of the lease 'rollout' raises the share by doubling on evidence, within the ready capacity of the new version, or takes the move back, and writes status/moves/<name>.

--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RolloutController.kt
@@ -0,0 +1,232 @@
+package org.yuccajunction.control
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
+import org.yuccajunction.document.VersionMove
+import org.yuccajunction.model.FencingNumber
+import org.yuccajunction.rollout.AttemptCounts
+import org.yuccajunction.rollout.EvidenceWindow
+import org.yuccajunction.rollout.FaultScore
+import org.yuccajunction.rollout.MoveEvidence
+import org.yuccajunction.rollout.MovePhase
+import org.yuccajunction.rollout.MoveSchedule
+import org.yuccajunction.rollout.MoveStatus
+import org.yuccajunction.rollout.MoveStep
+import org.yuccajunction.rollout.RouteTrial
+import org.yuccajunction.rollout.TrialContext
+import org.yuccajunction.rollout.VersionVeto
+import org.yuccajunction.routing.AttemptObservation
+import org.yuccajunction.routing.ServerState
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Moves versions by evidence.
+ *
+ * Every entry compares the versions in its own traffic and vetoes a bad one for itself at once; vetoes and counts
+ * travel with heartbeats. The holder of the lease [LEASE] raises the share or takes the move back, and writes the status
+ * that all entries follow. Without the object API shares stay as they are and vetoes go on working.
+ */
+public class RolloutController : Controller {
+    override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep =
+        when (event) {
+            is ControlEvent.Ticked -> ticked(board, random)
+            is ControlEvent.AttemptsEnded -> event.observations.fold(ControlStep(board), ::observed)
+            is ControlEvent.HeartbeatReceived ->
+                logged(board, event.heartbeat.sender.moves.mapNotNull { it.status }.fold(board, ::learned))
+            is ControlEvent.ObjectsListed -> logged(board, StatusObjects.listed(board, event))
+            is ControlEvent.ObjectRead -> logged(board, StatusObjects.read(board, event))
+            is ControlEvent.ObjectWritten -> {
+                val step = StatusObjects.written(board, event)
+                step.and(logged(board, step.board))
+            }
+            else -> ControlStep(board)
+        }
+
+    private fun learned(board: Blackboard, status: MoveStatus): Blackboard = board.withRollout { learn(status) }
+
+    private fun ticked(board: Blackboard, random: Random): ControlStep {
+        if (board.deployment.versions.isEmpty()) return ControlStep(board)
+        val tidied = withEvidence(started(tidied(board)))
+        val judged = board.deployment.versions.fold(ControlStep(tidied)) { step, move ->
+            step.and(judged(step.board, move))
+        }
+        val watched = judged.and(StatusObjects.watch(judged.board, random))
+        val fencing = watched.board.leases.fencingNumber(LEASE, board.now) ?: return watched
+        return board.deployment.versions.fold(watched) { step, move -> step.and(advanced(step.board, move, fencing)) }
+    }
+
+    private fun tidied(board: Blackboard): Blackboard {
+        val names = board.deployment.versions.map { it.name }.toSet()
+        if (board.rollout.vetoes.all { it.move in names }) return board
+        return board.withRollout { copy(vetoes = vetoes.filter { it.move in names }.toPersistentSet()) }
+    }
+
+    private fun started(board: Blackboard): Blackboard =
+        board.deployment.versions.fold(board) { state, move ->
+            val told = state.rollout.moves[move.name]?.let { board.now - it.elapsedSeconds.seconds } ?: board.now
+            val startedAt = minOf(state.rollout.startedAt[move.name] ?: told, told)
+            if (state.rollout.startedAt[move.name] == startedAt) return@fold state
+            state.withRollout { copy(startedAt = this.startedAt.put(move.name, startedAt)) }
+        }
+
+    /** Tells the other entries what this one has seen. */
+    private fun withEvidence(board: Blackboard): Blackboard {
+        val evidence = board.deployment.versions.map { ownEvidence(board, it) }
+        val self = board.membership.self
+        if (self.moves == evidence) return board
+        return board.copy(membership = board.membership.copy(self = self.copy(moves = evidence)))
+    }
+
+    private fun ownEvidence(board: Blackboard, move: VersionMove): MoveEvidence {
+        val status = board.rollout.moves[move.name]?.copy(detail = "")
+        val trials = board.rollout.trials[move.name]?.values.orEmpty()
+        return trials.fold(MoveEvidence(move.name, status)) { sum, trial ->
+            sum +
+                MoveEvidence(
+                    move = move.name,
+                    new = counts(trial.newFailures, trial.newSlow),
+                    old = counts(trial.oldFailures, trial.oldSlow),
+                )
+        }
+    }
+
+    private fun counts(failures: FaultScore, slow: FaultScore) =
+        AttemptCounts(failures.samples, failures.faults, slow.faults)
+
+    private fun judged(board: Blackboard, move: VersionMove): ControlStep {
+        val phase = board.rollout.moves[move.name]?.phase
+        if (phase != MovePhase.MOVING && phase != MovePhase.LATE) return ControlStep(board)
+        val total = allEvidence(board, move)
+        val window = board.rollout.windows[move.name] ?: EvidenceWindow(total)
+        val verdict = window.verdict(total)
+        val noted = board.withRollout { copy(windows = windows.put(move.name, window.advance(total))) }
+        if (verdict == null) return ControlStep(noted)
+        return vetoed(noted, VersionVeto(move.name, move.service, move.to, route = null, reason = verdict))
+    }
+
+    private fun observed(step: ControlStep, observation: AttemptObservation): ControlStep {
+        val board = step.board
+        val move = openMove(board, observation) ?: return step
+        val isNew = observation.version == move.to
+        val trials = board.rollout.trials[move.name] ?: persistentMapOf()
+        val known = trials[observation.route]
+        if (known == null && trials.size >= MOST_ROUTES) return step
+        val trial = (known ?: RouteTrial()).observe(observation, isNew, context(board, observation))
+        val noted =
+            board.withRollout { copy(trials = this.trials.put(move.name, trials.put(observation.route, trial))) }
+        val reason = trial.verdict ?: return step.copy(board = noted)
+        return step.and(vetoed(noted, VersionVeto(move.name, move.service, move.to, observation.route, reason)))
+    }
+
+    private fun openMove(board: Blackboard, observation: AttemptObservation): VersionMove? =
+        board.deployment.versions.find { move ->
+            val phase = board.rollout.moves[move.name]?.phase
+            val open = phase == MovePhase.MOVING || phase == MovePhase.LATE
+            val concerned = observation.version == move.from || observation.version == move.to
+            open && move.service == observation.service && concerned
+        }
+
+    private fun vetoed(board: Blackboard, veto: VersionVeto): ControlStep {
+        val known = board.rollout.vetoes.any { it.move == veto.move && it.route == veto.route }
+        if (known) return ControlStep(board)
+        val log = ControlCommand.Log(LogEvent.VERSION_VETOED, "move=${veto.move} route=${veto.route} ${veto.reason}")
+        return ControlStep(board.withRollout { copy(vetoes = vetoes.add(veto)) }, persistentListOf(log))
+    }
+
+    private fun context(board: Blackboard, observation: AttemptObservation): TrialContext {
+        val record = board.servers[observation.server]
+        val warm = record?.state == ServerState.READY && record.report?.cold != true
+        val model = board.deployment.models.find { it.name == observation.service }
+        val application = board.deployment.applications.find { it.name == observation.service }
+        return TrialContext(
+            now = board.now,
+            serverReady = warm,
+            serverLeaving = record == null || record.state == ServerState.LEAVING,
+            targetMillis = model?.firstTokenTargetMillis ?: application?.latencyTargetMillis ?: Long.MAX_VALUE,
+        )
+    }
+
+    private fun advanced(board: Blackboard, move: VersionMove, fencing: FencingNumber): ControlStep {
+        val current = board.rollout.moves[move.name] ?: MoveStatus(move.name, MovePhase.WAITING, 0.0)
+        val stale = current.fencingNumber > fencing || board.rollout.statusCalls.watchedFrom == null
+        if (current.isFinal || stale) return ControlStep(board)
+        val evidence = allEvidence(board, move)
+        val stepped = withStep(board, move, current, evidence)
+        val next = MoveSchedule.next(move, current, situation(stepped, move, evidence))
+        val elapsed = (board.now - stepped.rollout.startedAt.getValue(move.name)).inWholeSeconds
+        val due = elapsed - current.elapsedSeconds >= REFRESH_SECONDS || move.name !in board.rollout.objects
+        if (next == current && !due) return ControlStep(stepped)
+        return StatusObjects.write(stepped, next.copy(elapsedSeconds = elapsed, fencingNumber = fencing))
+    }
+
+    private fun withStep(
+        board: Blackboard,
+        move: VersionMove,
+        current: MoveStatus,
+        evidence: MoveEvidence,
+    ): Blackboard {
+        if (board.rollout.steps[move.name]?.share == current.share) return board
+        val step = MoveStep(current.share, board.now, evidence.new.samples)
+        return board.withRollout { copy(steps = steps.put(move.name, step)) }
+    }
+
+    private fun allEvidence(board: Blackboard, move: VersionMove): MoveEvidence =
+        (board.membership.peers.values.map { it.state } + board.membership.self)
+            .flatMap { it.moves }
+            .filter { it.move == move.name }
+            .fold(MoveEvidence(move.name)) { sum, evidence -> sum + evidence }
+
+    private fun situation(board: Blackboard, move: VersionMove, evidence: MoveEvidence): MoveSchedule.Situation {
+        val step = board.rollout.steps.getValue(move.name)
+        val servers = board.servers.values.filter { it.instance.service == move.service }
+        val new = servers.filter { it.instance.version == move.to }
+        return MoveSchedule.Situation(
+            elapsed = board.now - board.rollout.startedAt.getValue(move.name),
+            inStep = board.now - step.since,
+            evidence = evidence,
+            samplesAtStep = step.samples,
+            veto = board.rollout.vetoes.find {
+                it.move == move.name
+            }?.let { "${it.route ?: "all routes"}: ${it.reason}" },
+            servers = new.count { it.state == ServerState.READY || it.state == ServerState.COLD },
+            neededCapacity = servers.sumOf { it.report?.running ?: 0 },
+            newCapacity = new.filter { it.state == ServerState.READY }.sumOf { it.limits.warm },
+        )
+    }
+
+    private fun logged(before: Blackboard, after: Blackboard): ControlStep =
+        ControlStep(
+            after,
+            if (before.rollout.moves ===
+                after.rollout.moves
+            ) {
+                persistentListOf()
+            } else {
+                changes(before, after)
+            },
+        )
+
+    private fun changes(before: Blackboard, after: Blackboard): PersistentList<ControlCommand> =
+        after.rollout.moves.values
+            .filter { status ->
+                before.rollout.moves[status.move]?.let { it.phase to it.share } !=
+                    status.phase to status.share
+            }
+            .map {
+                val text = "move=${it.move} phase=${it.phase} share=${it.share} ${it.detail}"
+                ControlCommand.Log(LogEvent.MOVE_CHANGED, text)
+            }.toPersistentList()
+
+    private fun ControlStep.and(later: ControlStep) = ControlStep(later.board, commands.addAll(later.commands))
+
+    public companion object {
+        /** Name of the lease under which moves are decided. */
+        public const val LEASE: String = "rollout"
+        private const val REFRESH_SECONDS = 10L
+        private const val MOST_ROUTES = 64
+    }
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.yuccajunction.document.ApplicationSection
@@ -14,6 +13,8 @@
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.ServiceKind
 import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.ServiceVersion
+import org.yuccajunction.rollout.VersionShares
 import org.yuccajunction.routing.EntryAddress
 import org.yuccajunction.routing.RoutingTable
 import org.yuccajunction.routing.ServerRecord
@@ -45,28 +46,43 @@
 private fun services(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentMap<ServiceName, ServiceRoute> {
     val servers = board.servers.entries.groupBy({ it.value.instance.service }, { it.key to it.value })
     val routes = ServerRoutes(board, takenOut)
-    val models = board.deployment.models.map { modelRoute(it, routes.of(servers[it.name].orEmpty())) }
+    val models =
+        board.deployment.models.map {
+            modelRoute(it, shares(board, it.name, it.version), routes.of(servers[it.name].orEmpty()))
+        }
     val applications =
-        board.deployment.applications.map { applicationRoute(it, routes.of(servers[it.name].orEmpty())) }
+        board.deployment.applications.map {
+            applicationRoute(it, shares(board, it.name, it.version), routes.of(servers[it.name].orEmpty()))
+        }
     return (models + applications).associateBy { it.name }.toPersistentMap()
 }
 
-private fun modelRoute(section: ModelSection, servers: PersistentList<ServerRoute>) =
+private fun shares(board: Blackboard, service: ServiceName, version: ServiceVersion): VersionShares =
+    VersionShares.of(service, version, board.deployment.versions, board.rollout)
+
+private fun VersionShares.byRoute(): PersistentMap<String, PersistentMap<ServiceVersion, Double>> =
+    byRoute.mapValues { it.value.toPersistentMap() }.toPersistentMap()
+
+private fun modelRoute(section: ModelSection, shares: VersionShares, servers: PersistentList<ServerRoute>) =
     ServiceRoute(
         name = section.name,
         kind = ServiceKind.MODEL,
         latencyTargetMillis = section.firstTokenTargetMillis,
         betweenTokensTargetMillis = section.betweenTokensTargetMillis,
-        shares = persistentMapOf(section.version to 1.0),
+        shares = shares.everywhere.toPersistentMap(),
+        onTrial = shares.onTrial,
+        routeShares = shares.byRoute(),
         servers = servers,
     )
 
-private fun applicationRoute(section: ApplicationSection, servers: PersistentList<ServerRoute>) =
+private fun applicationRoute(section: ApplicationSection, shares: VersionShares, servers: PersistentList<ServerRoute>) =
     ServiceRoute(
         name = section.name,
         kind = ServiceKind.APPLICATION,
         latencyTargetMillis = section.latencyTargetMillis,
-        shares = persistentMapOf(section.version to 1.0),
+        shares = shares.everywhere.toPersistentMap(),
+        onTrial = shares.onTrial,
+        routeShares = shares.byRoute(),
         servers = servers,
         calls = section.calls.toPersistentList(),
         statusPath = section.statusPath,
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/EntryState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/EntryState.kt
@@ -5,6 +5,7 @@
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.EntryIncarnation
 import org.yuccajunction.model.Revision
+import org.yuccajunction.rollout.MoveEvidence
 
 /**
  * One entry's state as it told it itself.
@@ -14,6 +15,7 @@
  * @property load open requests over the entry's limit, from 0 to 1
  * @property identityEpoch the newest identity epoch of the entry
  * @property successor the entry that took over this one's records, null while there is none
+ * @property moves what the entry has seen of the moves of versions under way
  */
 @Serializable
 public data class EntryState(
@@ -27,4 +29,5 @@
     public val load: Double = 0.0,
     public val identityEpoch: Long = 0,
     public val successor: EntryIncarnation? = null,
+    public val moves: List<MoveEvidence> = emptyList(),
 )
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/FaultScore.kt
@@ -0,0 +1,41 @@
+package org.yuccajunction.rollout
+
+import kotlin.math.ln
+
+/**
+ * Detects that faults have become more frequent than beside, by a cumulative sum of log likelihood ratios.
+ *
+ * Good results lower the score down to 0, so that a version which fails later is found as fast as one that fails at
+ * once.
+ *
+ * @property faults faults among [samples]
+ */
+public data class FaultScore(
+    public val score: Double = 0.0,
+    public val samples: Long = 0,
+    public val faults: Long = 0,
+) {
+    /** Whether the faults are beyond chance. */
+    public val isProven: Boolean get() = score >= PROOF
+
+    /** Share of faults, null for too few samples. */
+    public val rate: Double? get() = if (samples < LEAST_SAMPLES) null else faults.toDouble() / samples
+
+    /** Returns the score after one more result, where [usual] of the results are faults when all is well. */
+    public fun add(fault: Boolean, usual: Double, increase: Double): FaultScore {
+        val raised = (usual + increase).coerceAtMost(HIGHEST_RATE)
+        val ratio = if (fault) ln(raised / usual) else ln((1 - raised) / (1 - usual))
+        return FaultScore(maxOf(0.0, score + ratio), samples + 1, faults + if (fault) 1 else 0)
+    }
+
+    /** Returns the counts after one more result, without a judgement. */
+    public fun count(fault: Boolean): FaultScore =
+        copy(samples = samples + 1, faults = faults + if (fault) 1 else 0)
+
+    private companion object {
+        /** Log of the odds at which faults are taken for proven: a thousand to one. */
+        val PROOF = ln(1_000.0)
+        const val HIGHEST_RATE = 0.98
+        const val LEAST_SAMPLES = 20
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveSchedule.kt
@@ -0,0 +1,110 @@
+package org.yuccajunction.rollout
+
+import org.yuccajunction.document.VersionMove
+import kotlin.math.sqrt
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Decides how one move goes on. Used by the holder of the lease `rollout` only. */
+public object MoveSchedule {
+    private const val PLANNED_PART_OF_TIME = 0.5
+    private const val WANTED_SAMPLES = 20L
+    private const val LEAST_SAMPLES = 5L
+    private const val PATIENCE = 2
+    private const val COMPARABLE_SAMPLES = 50L
+    private const val TOLERATED_EXCESS = 0.03
+    private const val DEVIATIONS = 3.0
+    private const val FULL_USE = 0.85
+    private val SHORTEST_STEP = 2.seconds
+    private val LONGEST_STEP = 300.seconds
+
+    /**
+     * What the holder knows when it decides.
+     *
+     * @property elapsed time since the move was accepted
+     * @property inStep time since the share was last raised
+     * @property evidence counts of all entries together
+     * @property samplesAtStep samples of the new version when the share was last raised
+     * @property veto reason of a veto by any entry, null without one
+     * @property servers servers of the new version that can take work
+     * @property neededCapacity requests open at both versions together
+     * @property newCapacity requests that the ready servers of the new version bear
+     */
+    public data class Situation(
+        public val elapsed: Duration,
+        public val inStep: Duration,
+        public val evidence: MoveEvidence,
+        public val samplesAtStep: Long,
+        public val veto: String?,
+        public val servers: Int,
+        public val neededCapacity: Int,
+        public val newCapacity: Int,
+    )
+
+    /** Returns the status that follows [current]; equal to it where nothing changes. */
+    public fun next(move: VersionMove, current: MoveStatus, situation: Situation): MoveStatus {
+        if (current.phase == MovePhase.DONE || current.phase == MovePhase.TAKEN_BACK) return current
+        val fault = situation.veto ?: excess(situation.evidence)
+        if (fault != null) return current.takenBack(fault)
+        val obstacle = obstacle(move, current, situation)
+        val inTime = situation.elapsed < move.completeWithinSeconds.seconds
+        return when {
+            obstacle == null -> current.raised(move)
+            !inTime -> current.takenBack("not done within ${move.completeWithinSeconds} s: $obstacle")
+            current.phase == MovePhase.WAITING -> current.copy(detail = obstacle)
+            situation.inStep > stepTime(
+                move,
+            ) * (PATIENCE + 1) -> current.copy(phase = MovePhase.LATE, detail = obstacle)
+            else -> current
+        }
+    }
+
+    /** Returns the time that a share is kept before it is raised. */
+    public fun stepTime(move: VersionMove): Duration {
+        val steps = generateSequence(move.firstShare) { it * 2 }.takeWhile { it < 1.0 }.count() + 1
+        val planned = move.completeWithinSeconds.seconds * PLANNED_PART_OF_TIME / steps
+        return planned.coerceIn(SHORTEST_STEP, LONGEST_STEP)
+    }
+
+    private fun MoveStatus.takenBack(reason: String) =
+        copy(phase = MovePhase.TAKEN_BACK, share = 0.0, detail = reason)
+
+    private fun MoveStatus.raised(move: VersionMove): MoveStatus =
+        when {
+            phase == MovePhase.WAITING -> copy(phase = MovePhase.MOVING, share = move.firstShare, detail = "")
+            share >= 1.0 -> copy(phase = MovePhase.DONE, detail = "all requests go to ${move.to}")
+            else -> copy(phase = MovePhase.MOVING, share = minOf(1.0, share * 2), detail = "")
+        }
+
+    /** Returns why the next step can't be taken yet, null where it can. */
+    private fun obstacle(move: VersionMove, current: MoveStatus, situation: Situation): String? {
+        if (situation.servers == 0) return "no server of ${move.to} takes work"
+        if (current.phase == MovePhase.WAITING) return null
+        val step = stepTime(move)
+        if (situation.inStep < step) return "the share is being watched"
+        val samples = situation.evidence.new.samples - situation.samplesAtStep
+        val wanted = if (situation.inStep >= step * PATIENCE) LEAST_SAMPLES else WANTED_SAMPLES
+        if (samples < wanted) return "$samples of $wanted attempts at ${move.to} were seen"
+        val needed = situation.neededCapacity * minOf(1.0, current.share * 2)
+        val enough = needed <= situation.newCapacity * FULL_USE
+        return if (enough) null else "servers of ${move.to} bear ${situation.newCapacity} requests, not $needed"
+    }
+
+    private fun excess(evidence: MoveEvidence): String? {
+        val failed = isExcess(evidence.new.failed, evidence.new.samples, evidence.old.failed, evidence.old.samples)
+        val slow = isExcess(evidence.new.slow, evidence.new.samples, evidence.old.slow, evidence.old.samples)
+        return when {
+            failed -> "more attempts failed than at the old version: ${evidence.new} to ${evidence.old}"
+            slow -> "more attempts were slow than at the old version: ${evidence.new} to ${evidence.old}"
+            else -> null
+        }
+    }
+
+    private fun isExcess(newFaults: Long, newSamples: Long, oldFaults: Long, oldSamples: Long): Boolean {
+        if (newSamples < COMPARABLE_SAMPLES || oldSamples < COMPARABLE_SAMPLES) return false
+        val new = newFaults.toDouble() / newSamples
+        val old = oldFaults.toDouble() / oldSamples
+        val deviation = sqrt(maxOf(new, old) * (1 - minOf(new, old)) / newSamples)
+        return new > old + TOLERATED_EXCESS + DEVIATIONS * deviation
+    }
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveStatus.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveStatus.kt
@@ -18,4 +18,7 @@
     public val elapsedSeconds: Long = 0,
     public val fencingNumber: FencingNumber = FencingNumber(0),
     public val detail: String = "",
-)
+) {
+    /** Whether the move is over. */
+    public val isFinal: Boolean get() = phase == MovePhase.DONE || phase == MovePhase.TAKEN_BACK
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/RouteTrial.kt
@@ -0,0 +1,109 @@
+package org.yuccajunction.rollout
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.routing.AttemptObservation
+import org.yuccajunction.routing.AttemptResult
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The comparison of the new version with the old one beside it, on one route at one entry.
+ *
+ * Latencies are compared under the same number of open requests only, so that load is not taken for a fault.
+ *
+ * @property lostAt when each server last lost an answer; a crash that takes several answers counts once
+ */
+public data class RouteTrial(
+    public val oldFirstToken: LatencyMeans = LatencyMeans(),
+    public val oldPerToken: LatencyMeans = LatencyMeans(),
+    public val oldFailures: FaultScore = FaultScore(),
+    public val oldSlow: FaultScore = FaultScore(),
+    public val newFailures: FaultScore = FaultScore(),
+    public val newSlow: FaultScore = FaultScore(),
+    public val lostAt: PersistentMap<BackendServerId, MonotonicTime> = persistentMapOf(),
+) {
+    /** Why the new version is taken for bad, null while it is not. */
+    public val verdict: String?
+        get() =
+            when {
+                newFailures.isProven -> "${newFailures.faults} of ${newFailures.samples} attempts failed"
+                newSlow.isProven -> "${newSlow.faults} of ${newSlow.samples} attempts were slow"
+                else -> null
+            }
+
+    /** Returns the trial after [attempt] ended at the old version, or at the new one where [isNew]. */
+    public fun observe(attempt: AttemptObservation, isNew: Boolean, context: TrialContext): RouteTrial {
+        val failed = isFailure(attempt, context) ?: return this
+        val noted = if (failed) copy(lostAt = lostAt.put(attempt.server, context.now)) else this
+        val judged = if (isNew) noted.judgeNew(attempt, failed, context) else noted.learnOld(attempt, failed, context)
+        return judged
+    }
+
+    private fun isFailure(attempt: AttemptObservation, context: TrialContext): Boolean? =
+        when (attempt.result) {
+            AttemptResult.COMPLETED -> false
+            AttemptResult.FAILED, AttemptResult.INVALID -> true
+            AttemptResult.BROKEN, AttemptResult.SILENT -> if (isCountedLoss(attempt, context)) true else null
+            AttemptResult.UNREACHABLE, AttemptResult.REJECTED, AttemptResult.CANCELLED -> null
+        }
+
+    private fun isCountedLoss(attempt: AttemptObservation, context: TrialContext): Boolean {
+        val last = lostAt[attempt.server]
+        return !context.serverLeaving && (last == null || context.now - last >= SAME_LOSS)
+    }
+
+    private fun learnOld(attempt: AttemptObservation, failed: Boolean, context: TrialContext): RouteTrial {
+        val slow = if (failed || !context.serverReady) null else isSlow(attempt, context)
+        val open = attempt.openAtDispatch
+        val learns = !failed && context.serverReady
+        return copy(
+            oldFailures = oldFailures.count(failed),
+            oldSlow = if (slow == null) oldSlow else oldSlow.count(slow),
+            oldFirstToken = oldFirstToken.addIf(learns, open, attempt.firstTokenMillis?.toDouble()),
+            oldPerToken = oldPerToken.addIf(learns, open, attempt.millisPerToken),
+        )
+    }
+
+    private fun judgeNew(attempt: AttemptObservation, failed: Boolean, context: TrialContext): RouteTrial {
+        val usualFailures = (oldFailures.rate ?: 0.0).coerceAtLeast(LEAST_FAILURES)
+        val failures = newFailures.add(failed, usualFailures, FAILURE_INCREASE)
+        val slow = if (failed || !context.serverReady) null else isSlow(attempt, context)
+        if (slow == null) return copy(newFailures = failures)
+        val usualSlow = (oldSlow.rate ?: 0.0).coerceAtLeast(LEAST_SLOW)
+        return copy(newFailures = failures, newSlow = newSlow.add(slow, usualSlow, SLOW_INCREASE))
+    }
+
+    /**
+     * Returns whether the attempt was slow beside the old version; null where there is nothing to compare with.
+     *
+     * A model's first token is late on a server whose cache does not hold the prompt yet, so that it counts only where
+     * it misses the target as well.
+     */
+    private fun isSlow(attempt: AttemptObservation, context: TrialContext): Boolean? {
+        val first = oldFirstToken.expected(attempt.openAtDispatch)
+        val between = oldPerToken.expected(attempt.openAtDispatch)
+        val firstMillis = attempt.firstTokenMillis
+        if (first == null || firstMillis == null) return null
+        val lateFirst = firstMillis > first * SLOW_FACTOR + FIRST_TOKEN_SLACK_MILLIS
+        val countsFirst = between == null || firstMillis > context.targetMillis
+        val perToken = attempt.millisPerToken
+        val lateBetween = between != null && perToken != null && perToken > between * SLOW_FACTOR + TOKEN_SLACK_MILLIS
+        return lateFirst && countsFirst || lateBetween
+    }
+
+    private fun LatencyMeans.addIf(condition: Boolean, open: Int, value: Double?): LatencyMeans =
+        if (condition && value != null) add(open, value) else this
+
+    private companion object {
+        const val LEAST_FAILURES = 0.01
+        const val FAILURE_INCREASE = 0.3
+        const val LEAST_SLOW = 0.1
+        const val SLOW_INCREASE = 0.4
+        const val SLOW_FACTOR = 1.5
+        const val FIRST_TOKEN_SLACK_MILLIS = 20.0
+        const val TOKEN_SLACK_MILLIS = 2.0
+        val SAME_LOSS = 10.seconds
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/StatusWrite.kt
@@ -0,0 +1,10 @@
+package org.yuccajunction.rollout
+
+import org.yuccajunction.model.MonotonicTime
+
+/**
+ * A write of a status of which the outcome is not known yet.
+ *
+ * @property since when it was sent
+ */
+public data class StatusWrite(public val status: MoveStatus, public val since: MonotonicTime)
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/VersionShares.kt
@@ -0,0 +1,53 @@
+package org.yuccajunction.rollout
+
+import org.yuccajunction.document.VersionMove
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.ServiceVersion
+
+/**
+ * The versions of one service that get new requests now.
+ *
+ * @property onTrial the version that an open move is bringing in, null without one
+ * @property byRoute shares that hold on one route in place of [everywhere]
+ */
+public data class VersionShares(
+    public val everywhere: Map<ServiceVersion, Double>,
+    public val onTrial: ServiceVersion? = null,
+    public val byRoute: Map<String, Map<ServiceVersion, Double>> = emptyMap(),
+) {
+    public companion object {
+        /** Returns the shares of [service], whose configured version is [version], under [moves] and their state. */
+        public fun of(
+            service: ServiceName,
+            version: ServiceVersion,
+            moves: List<VersionMove>,
+            rollout: RolloutState,
+        ): VersionShares =
+            moves
+                .filter { it.service == service }
+                .fold(VersionShares(mapOf(version to 1.0))) { shares, move -> shares.after(move, rollout) }
+
+        private fun VersionShares.after(move: VersionMove, rollout: RolloutState): VersionShares {
+            val isNext = everywhere.keys == setOf(move.from)
+            val status = rollout.moves[move.name]
+            val vetoes = rollout.vetoes.filter { it.move == move.name && it.version == move.to }
+            val oldOnly = mapOf(move.from to 1.0)
+            return when {
+                !isNext -> this
+                status?.phase == MovePhase.DONE -> VersionShares(mapOf(move.to to 1.0))
+                status?.phase == MovePhase.TAKEN_BACK || vetoes.any { it.route == null } -> this
+                else -> VersionShares(
+                    split(move, status?.share ?: 0.0),
+                    move.to,
+                    vetoes.associate {
+                        it.route!! to
+                            oldOnly
+                    },
+                )
+            }
+        }
+
+        private fun split(move: VersionMove, share: Double): Map<ServiceVersion, Double> =
+            mapOf(move.from to 1.0 - share, move.to to share)
+    }
+}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/VersionChoice.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/VersionChoice.kt
@@ -8,29 +8,28 @@
     /**
      * Returns the versions to try, in order.
      *
-     * The version with the largest share may always stand in for another. One with a smaller share never takes more
-     * than it, unless no server of any other version is left. A version that already failed this request is skipped.
+     * A version on trial never takes more than its share, unless no server of another version is left. Every other
+     * version may stand in for it. A version on trial that already failed this request is skipped.
      */
     fun order(service: ServiceRoute, query: RoutingQuery, random: Random): List<ServiceVersion> {
         val shares = service.routeShares[query.route] ?: service.shares
-        val main = shares.maxByOrNull { it.value }?.key ?: return emptyList()
-        val drawn = draw(shares, random)
-        val failed = service.servers.filter { it.id in query.avoid }.map { it.version }
-        val first = if (drawn in failed) main else drawn
-        val others = shares.filterValues { it > 0.0 }.keys.filterNot { version ->
-            service.serves(main) ||
-                version == main
-        }
-        return (listOf(first, main) + others).distinct()
+        val proven = shares.keys.filter { it != service.onTrial }
+        val failed = service.servers.any { it.id in query.avoid && it.version == service.onTrial }
+        val drawn = draw(if (failed) shares - setOfNotNull(service.onTrial) else shares, random)
+        val lastResort = if (proven.any { service.serves(it) }) emptySet() else shares.keys
+        return (listOfNotNull(drawn) + proven + lastResort).distinct()
     }
 
-    private fun draw(shares: Map<ServiceVersion, Double>, random: Random): ServiceVersion {
-        val versions = shares.entries.sortedBy { it.key.value }
+    private fun draw(shares: Map<ServiceVersion, Double>, random: Random): ServiceVersion? {
+        val versions = shares.entries.filter { it.value > 0.0 }.sortedBy { it.key.value }
+        if (versions.isEmpty()) return null
         var left = random.nextDouble(versions.sumOf { it.value })
-        return versions.firstOrNull { version ->
-            left -= version.value
-            left < 0
-        }?.key ?: versions.last().key
+        val drawn =
+            versions.firstOrNull { version ->
+                left -= version.value
+                left < 0
+            }
+        return (drawn ?: versions.last()).key
     }
 
     private fun ServiceRoute.serves(version: ServiceVersion): Boolean =
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/RolloutModelTest.kt
@@ -0,0 +1,170 @@
+package org.yuccajunction.control
+
+import org.yuccajunction.document.VersionMove
+import org.yuccajunction.model.RequestClass
+import org.yuccajunction.rollout.MovePhase
+import org.yuccajunction.rollout.MoveStatus
+import org.yuccajunction.routing.LoadBoundedServerChooser
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/**
+ * Moves modelled versions with different faults behind four entries that share a store and heartbeats.
+ *
+ * Bounds, stated beforehand: before there is evidence the new version gets its first share; six seconds after a fault
+ * has been seen ten times by all entries together it gets nothing new; a good version is in force in the set time.
+ */
+class RolloutModelTest {
+    @Test
+    fun `a good version is in force in time although its servers start cold`() {
+        SEEDS.forEach { seed ->
+            val run = Run(seed).run { second, new -> if (second == 8) new.forEach { it.coldLimit = null } }
+            assertEquals(MovePhase.DONE, run.status.phase, "seed $seed: ${run.status}")
+            assertTrue(run.status.elapsedSeconds <= MOVE.completeWithinSeconds)
+        }
+    }
+
+    @Test
+    fun `a version that fails at once is taken back within its first share`() {
+        SEEDS.forEach { seed ->
+            val run = Run(seed) { new -> new.forEach { it.fails = { true } } }.run()
+            run.assertTakenBack("failed")
+            println("failing at once: share of requests at the new version ${run.shareOfNew()}")
+            assertTrue(run.shareOfNew() <= 0.05, "seed $seed: ${run.shareOfNew()}")
+            run.assertNothingNewAfterFaults(faultsFromSecond = 0)
+        }
+    }
+
+    @Test
+    fun `a version that fails later is taken back`() {
+        SEEDS.forEach { seed ->
+            val run = Run(seed).run { second, new -> if (second == 40) new.forEach { it.fails = { true } } }
+            run.assertTakenBack("failed")
+            run.assertNothingNewAfterFaults(faultsFromSecond = 40)
+        }
+    }
+
+    @Test
+    fun `a version that fails on one route only is taken back`() {
+        SEEDS.forEach { seed ->
+            val run = Run(seed) { new -> new.forEach { it.fails = { route -> route == "tag" } } }.run()
+            run.assertTakenBack("tag")
+        }
+    }
+
+    @Test
+    fun `a slow version is taken back`() {
+        SEEDS.forEach { seed ->
+            val run = Run(seed) { new -> new.forEach { it.speed = 3.0 } }.run()
+            run.assertTakenBack("slow")
+            assertTrue(run.shareOfNew() <= 0.1, "seed $seed: ${run.shareOfNew()}")
+        }
+    }
+
+    @Test
+    fun `a version that is slow under load only is taken back`() {
+        SEEDS.forEach { seed ->
+            Run(seed) { new -> new.forEach { it.slowAbove = 2 } }.run().assertTakenBack("slow")
+        }
+    }
+
+    @Test
+    fun `load that slows both versions is not taken for a fault of the new one`() {
+        SEEDS.forEach { seed ->
+            val run = Run(seed, load = 2.0).run()
+            assertEquals(MovePhase.DONE, run.status.phase, "seed $seed: ${run.status}")
+        }
+    }
+
+    @Test
+    fun `without the store the share stays and a veto goes on working`() {
+        SEEDS.forEach { seed ->
+            val run =
+                Run(seed).run { second, new ->
+                    if (second == 25) store.available = false
+                    if (second == 60) new.forEach { it.fails = { true } }
+                }
+            assertEquals(MovePhase.MOVING, run.status.phase)
+            run.assertNothingNewAfterFaults(faultsFromSecond = 60)
+        }
+    }
+
+    @Test
+    fun `a move without servers of the new version is taken back at its time`() {
+        val run = Run(1, newServers = 0).run()
+        run.assertTakenBack("no server of v2")
+    }
+
+    private inner class Run(
+        private val seed: Int,
+        private val load: Double = 1.0,
+        newServers: Int = 8,
+        prepare: (List<ServerModel>) -> Unit = {},
+    ) {
+        val store = ModelStore()
+        private val old = (1..8).map { ServerModel(serverInstance(it), ServiceModel.LIMIT) }
+        private val new =
+            (1..newServers).map { ServerModel(serverInstance(it + 20, VERSION_2), ServiceModel.LIMIT) }.onEach {
+                it.coldLimit = 1
+            }
+        private val demands =
+            listOf(
+                Demand("nile-central", RequestClass.DRAFT, 20.0 * load),
+                Demand("nile-giza", RequestClass.INTERACTIVE, 10.0 * load, route = "tag"),
+            )
+        private val model =
+            ServiceModel(
+                seed = seed,
+                demands = demands,
+                servers = old + new,
+                entryCount = 4,
+                moves = listOf(MOVE),
+                store = store,
+                chooser = ::LoadBoundedServerChooser,
+            )
+        val status: MoveStatus get() = model.boards.first().rollout.moves.getValue(MOVE.name)
+
+        init {
+            prepare(new)
+        }
+
+        fun run(at: Run.(Int, List<ServerModel>) -> Unit = { second, new -> warmUp(second, new) }): Run {
+            model.run(MOVE.completeWithinSeconds.toInt() + 10) { second ->
+                warmUp(second, new)
+                at(second, new)
+            }
+            return this
+        }
+
+        private fun warmUp(second: Int, servers: List<ServerModel>) {
+            if (second == 8) servers.forEach { it.coldLimit = null }
+        }
+
+        fun shareOfNew(): Double = newDispatches().size.toDouble() / model.dispatches.size
+
+        private fun newDispatches(): List<Long> = model.dispatches.filter { it.second == VERSION_2 }.map { it.first }
+
+        fun assertTakenBack(reason: String) {
+            assertEquals(MovePhase.TAKEN_BACK, status.phase, "seed $seed: $status")
+            assertTrue(reason in status.detail, "seed $seed: ${status.detail}")
+        }
+
+        fun assertNothingNewAfterFaults(faultsFromSecond: Int) {
+            val faulty = newDispatches().filter { it >= faultsFromSecond * 1_000 }
+            val shown = faulty.getOrNull(TEN_FAULTS) ?: return
+            val late = faulty.count { it > shown + 6_000 }
+            assertEquals(
+                0,
+                late,
+                "seed $seed: ${faulty.size} attempts, the tenth at $shown, the last at ${faulty.last()}",
+            )
+        }
+    }
+
+    private companion object {
+        val SEEDS = 1..Integer.getInteger("model.seeds", 3)
+        const val TEN_FAULTS = 9
+        val MOVE = VersionMove("talker-v2", TALKER, VERSION_1, VERSION_2, completeWithinSeconds = 120)
+    }
+}
