--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/FaultProxyIT.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/FaultProxyIT.kt
@@ -36,7 +36,13 @@
     }
 
     private fun serve(socket: Socket) {
-        thread(isDaemon = true) { socket.use { it.getInputStream().copyTo(it.getOutputStream()) } }
+        thread(isDaemon = true) {
+            try {
+                socket.use { it.getInputStream().copyTo(it.getOutputStream()) }
+            } catch (_: SocketException) {
+                return@thread
+            }
+        }
     }
 
     private fun connect() = Socket(route.endpoint.host, route.endpoint.port).also { it.soTimeout = 2_000 }
