--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.yuccajunction.document.ApplicationSection
@@ -12,9 +11,13 @@
 import org.yuccajunction.membership.EntryState
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.EntryIncarnation
 import org.yuccajunction.model.ServiceKind
 import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.ServiceVersion
+import org.yuccajunction.rollout.VersionShares
 import org.yuccajunction.routing.EntryAddress
+import org.yuccajunction.routing.HomeAddress
 import org.yuccajunction.routing.RoutingTable
 import org.yuccajunction.routing.ServerRecord
 import org.yuccajunction.routing.ServerRoute
@@ -30,7 +33,10 @@
         availabilityZone = board.membership.self.availabilityZone,
         services = services(board, takenOut),
         workspaces = workspacesByKeyHash(deployment),
+        weights = deployment.trafficRules.workspaces.associate { it.name to it.weight }.toPersistentMap(),
+        madeAt = board.now,
         entries = entries(board, takenOut),
+        homes = homes(board),
         leaving = board.membership.self.leaving,
         retryShare = deployment.trafficRules.retryShare,
         addressAnswerSeconds = deployment.trafficRules.addressAnswerSeconds,
@@ -43,28 +49,43 @@
 private fun services(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentMap<ServiceName, ServiceRoute> {
     val servers = board.servers.entries.groupBy({ it.value.instance.service }, { it.key to it.value })
     val routes = ServerRoutes(board, takenOut)
-    val models = board.deployment.models.map { modelRoute(it, routes.of(servers[it.name].orEmpty())) }
+    val models =
+        board.deployment.models.map {
+            modelRoute(it, shares(board, it.name, it.version), routes.of(servers[it.name].orEmpty()))
+        }
     val applications =
-        board.deployment.applications.map { applicationRoute(it, routes.of(servers[it.name].orEmpty())) }
+        board.deployment.applications.map {
+            applicationRoute(it, shares(board, it.name, it.version), routes.of(servers[it.name].orEmpty()))
+        }
     return (models + applications).associateBy { it.name }.toPersistentMap()
 }
 
-private fun modelRoute(section: ModelSection, servers: PersistentList<ServerRoute>) =
+private fun shares(board: Blackboard, service: ServiceName, version: ServiceVersion): VersionShares =
+    VersionShares.of(service, version, board.deployment.versions, board.rollout)
+
+private fun VersionShares.byRoute(): PersistentMap<String, PersistentMap<ServiceVersion, Double>> =
+    byRoute.mapValues { it.value.toPersistentMap() }.toPersistentMap()
+
+private fun modelRoute(section: ModelSection, shares: VersionShares, servers: PersistentList<ServerRoute>) =
     ServiceRoute(
         name = section.name,
         kind = ServiceKind.MODEL,
         latencyTargetMillis = section.firstTokenTargetMillis,
         betweenTokensTargetMillis = section.betweenTokensTargetMillis,
-        shares = persistentMapOf(section.version to 1.0),
+        shares = shares.everywhere.toPersistentMap(),
+        onTrial = shares.onTrial,
+        routeShares = shares.byRoute(),
         servers = servers,
     )
 
-private fun applicationRoute(section: ApplicationSection, servers: PersistentList<ServerRoute>) =
+private fun applicationRoute(section: ApplicationSection, shares: VersionShares, servers: PersistentList<ServerRoute>) =
     ServiceRoute(
         name = section.name,
         kind = ServiceKind.APPLICATION,
         latencyTargetMillis = section.latencyTargetMillis,
-        shares = persistentMapOf(section.version to 1.0),
+        shares = shares.everywhere.toPersistentMap(),
+        onTrial = shares.onTrial,
+        routeShares = shares.byRoute(),
         servers = servers,
         calls = section.calls.toPersistentList(),
         statusPath = section.statusPath,
@@ -72,33 +93,56 @@
 
 private class ServerRoutes(private val board: Blackboard, private val takenOut: Set<AvailabilityZone>) {
     private val zones = board.deployment.availabilityZones.associateBy { it.name }
+    private val failing = failingZones(board)
 
     fun of(records: List<Pair<BackendServerId, ServerRecord>>): PersistentList<ServerRoute> =
         records.mapNotNull { (id, record) -> route(id, record) }.toPersistentList()
 
     private fun route(id: BackendServerId, record: ServerRecord): ServerRoute? {
         val version = record.instance.version ?: return null
-        val state = if (record.instance.availabilityZone in takenOut) ServerState.LEAVING else record.state
+        val believed = record.copy(state = state(record))
         return ServerRoute(
             id = id,
             endpoint = record.endpoint,
             availabilityZone = record.instance.availabilityZone,
             version = version,
-            state = state,
-            permits = record.permits(state),
+            state = believed.state,
+            permits = believed.permits(board.now),
             limit = record.limits.warm,
             report = record.report,
             reportAgeMillis = record.reportedAt?.let { (board.now - it).inWholeMilliseconds } ?: 0,
             pricePerHour = price(record),
+            firstTokenMillis = record.evidence.firstTokenMillis,
         )
     }
 
+    private fun state(record: ServerRecord): ServerState {
+        val zone = record.instance.availabilityZone
+        return when {
+            zone in takenOut -> ServerState.LEAVING
+            zone in failing && record.state != ServerState.LEAVING -> ServerState.SUSPECT
+            else -> record.state
+        }
+    }
+
     private fun price(record: ServerRecord): Double {
         val zone = zones[record.instance.availabilityZone] ?: return 1.0
         return if (record.instance.reclaimable) zone.reclaimablePricePerHour else zone.onDemandPricePerHour
     }
 }
 
+/** Returns the zones in which so many servers fail at once that the rest are likely to be failing as well. */
+private fun failingZones(board: Blackboard): Set<AvailabilityZone> {
+    val byZone = board.servers.values.filter {
+        it.state != ServerState.LEAVING
+    }.groupBy { it.instance.availabilityZone }
+    return byZone.filterValues { it.size >= LEAST_ZONE_SERVERS && it.mostAreSuspect() }.keys
+}
+
+private fun List<ServerRecord>.mostAreSuspect(): Boolean = count { it.state == ServerState.SUSPECT } * 2 > size
+
+private const val LEAST_ZONE_SERVERS = 3
+
 private fun workspacesByKeyHash(deployment: Deployment): PersistentMap<String, WorkspaceRule> =
     deployment.trafficRules.workspaces
         .flatMap { workspace -> workspace.keyHashes.map { it to workspace } }
@@ -108,10 +152,16 @@
 private fun entries(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentList<EntryAddress> {
     val peers = board.membership.peers.values.filterNot { it.suspected }.map { it.state }
     return (listOf(board.membership.self) + peers)
-        .filterNot { it.leaving || it.availabilityZone in takenOut }
+        .filterNot { it.starting || it.leaving || it.availabilityZone in takenOut }
         .map { it.address() }
         .toPersistentList()
 }
 
+private fun homes(board: Blackboard): PersistentMap<EntryIncarnation, HomeAddress> {
+    val peers = board.membership.peers.values.map { it.state }
+    val endpoints = (peers + board.membership.self).associate { it.entry to it.peerEndpoint }
+    return peers.associate { it.entry to HomeAddress(it.peerEndpoint, endpoints[it.successor]) }.toPersistentMap()
+}
+
 private fun EntryState.address() =
     EntryAddress(entry, availabilityZone, callerEndpoint, peerEndpoint, load, identityEpoch)
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
@@ -33,19 +33,14 @@
 
     private suspend fun answer(command: ControlCommand): ControlEvent? =
         when (command) {
-            is ControlCommand.SendHeartbeat ->
-                ports.peers.beat(command.to, command.heartbeat)?.let(ControlEvent::HeartbeatReceived)
-                    ?: ControlEvent.HeartbeatUnanswered(command.to)
-            is ControlCommand.PullDeployment ->
-                ports.peers.pullDeployment(command.from)?.let { ControlEvent.DeploymentRead(it, fromPeer = true) }
-                    ?: ControlEvent.PullUnanswered(command.from)
+            is ControlCommand.SendHeartbeat -> beat(command)
+            is ControlCommand.PullDeployment -> pull(command)
             is ControlCommand.PollServer -> poll(command)
             is ControlCommand.OrderServer -> order(command)
             is ControlCommand.StartInstance ->
                 ControlEvent.InstanceStarted(command.order, ports.cloud.start(command.order))
             is ControlCommand.StopInstance -> null.also { ports.cloud.stop(command.instance) }
-            is ControlCommand.ListInstances ->
-                ports.instances.read()?.let(ControlEvent::InstancesListed) ?: ControlEvent.InstancesUnavailable
+            is ControlCommand.ListInstances -> listInstances()
             is ControlCommand.ReadNotices -> ports.cloud.notices()?.let(ControlEvent::NoticesRead)
             is ControlCommand.Log -> null
             else -> answerFromStore(command)
@@ -53,7 +48,7 @@
 
     private suspend fun answerFromStore(command: ControlCommand): ControlEvent? =
         when (command) {
-            is ControlCommand.ReadDeployment -> loaded(loader.load(deployment()))
+            is ControlCommand.ReadDeployment -> readDeployment()
             is ControlCommand.ReadObject -> ControlEvent.ObjectRead(command.key, ports.objects.read(command.key))
             is ControlCommand.WriteObject ->
                 ControlEvent.ObjectWritten(
@@ -70,12 +65,23 @@
             else -> null
         }
 
-    private fun loaded(outcome: LoadedDeployment): ControlEvent =
-        when (outcome) {
+    private suspend fun beat(command: ControlCommand.SendHeartbeat): ControlEvent =
+        ports.peers.beat(command.to, command.heartbeat)?.let(ControlEvent::HeartbeatReceived)
+            ?: ControlEvent.HeartbeatUnanswered(command.to)
+
+    private suspend fun pull(command: ControlCommand.PullDeployment): ControlEvent =
+        ports.peers.pullDeployment(command.from)?.let { ControlEvent.DeploymentRead(it, fromPeer = true) }
+            ?: ControlEvent.PullUnanswered(command.from)
+
+    private suspend fun listInstances(): ControlEvent =
+        ports.instances.read()?.let(ControlEvent::InstancesListed) ?: ControlEvent.InstancesUnavailable
+
+    private suspend fun readDeployment(): ControlEvent =
+        when (val loaded = loader.load(deployment())) {
             is LoadedDeployment.Loaded ->
-                ControlEvent.DeploymentRead(outcome.deployment, findings = outcome.findings.toPersistentList())
-            LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration was accepted yet")
-            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(outcome.detail)
+                ControlEvent.DeploymentRead(loaded.deployment, findings = loaded.findings.toPersistentList())
+            is LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration has been accepted")
+            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(loaded.detail)
         }
 
     private suspend fun poll(command: ControlCommand.PollServer): ControlEvent =
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryPeerHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryPeerHandler.kt
@@ -17,7 +17,7 @@
     private val control: ControlThread,
     private val membership: MembershipController,
     private val serving: ServingPeerHandler,
-    private val random: Random = Random.Default,
+    private val random: Random,
 ) : PeerHandler {
     override suspend fun beat(heartbeat: Heartbeat): Heartbeat {
         control.post(ControlEvent.HeartbeatReceived(heartbeat))
