--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/MembershipController.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.toPersistentSet
 import org.yuccajunction.membership.EntryState
 import org.yuccajunction.membership.Heartbeat
+import org.yuccajunction.membership.HeartbeatContent
 import org.yuccajunction.membership.Membership
 import org.yuccajunction.membership.MembershipSettings
 import org.yuccajunction.membership.MembershipState
@@ -32,14 +33,17 @@
 
     /** Returns the answer to a peer's heartbeat, in the state of [board]. */
     public fun answer(board: Blackboard, received: Heartbeat, random: Random): Heartbeat =
-        membership.answer(board.membership, board.deployment.revision, board.rollout.vetoes, received, random)
+        membership.answer(board.membership, content(board), received, random)
+
+    private fun content(board: Blackboard): HeartbeatContent =
+        HeartbeatContent(board.deployment.revision, board.rollout.vetoes, board.leases.highest)
 
     private fun onTick(board: Blackboard, random: Random): ControlStep {
         if (!membership.isRoundDue(board.membership, board.now)) return ControlStep(board)
         val state = membership.beginRound(board.membership, board.deployment.revision, board.now, random)
         val heartbeats =
             membership
-                .heartbeats(state, board.deployment.revision, board.rollout.vetoes, random)
+                .heartbeats(state, content(board), random)
                 .map { ControlCommand.SendHeartbeat(it.to, it.heartbeat) }
         return ControlStep(
             board.copy(membership = state),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Heartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Heartbeat.kt
@@ -14,6 +14,7 @@
  * @property rumours states of other entries that the receiver may not know yet
  * @property digest hashes of all that the sender knows of entries
  * @property vetoDigest hash of all vetoes that the sender holds
+ * @property highestFencingNumber the highest fencing number of any lease that the sender has heard of
  */
 @Serializable
 public data class Heartbeat(
@@ -23,4 +24,5 @@
     public val rumours: List<Rumour> = emptyList(),
     public val digest: MembershipDigest = MembershipDigest(),
     public val vetoDigest: Int = 0,
+    public val highestFencingNumber: Long = 0,
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
@@ -1,8 +1,6 @@
 package org.yuccajunction.membership
 
 import org.yuccajunction.model.MonotonicTime
-import org.yuccajunction.model.Revision
-import org.yuccajunction.rollout.VersionVeto
 import kotlin.random.Random
 
 /** Makes heartbeats and learns from them. */
@@ -45,6 +43,7 @@
             rumours = rumours,
             digest = digest,
             vetoDigest = content.vetoDigest,
+            highestFencingNumber = content.highestFencingNumber.value,
         )
     }
 
@@ -79,9 +78,11 @@
         val instance = rumour.state.entry.instance
         if (instance == self.entry.instance) return refuting(rumour, now)
         if (removed[instance]?.covers(rumour) == true) return this
-        val known = peers[instance]
-        if (known == null) return withPeer(PeerRecord(rumour.state, now, rumour.suspected))
-        if (!rumour.isNewerThan(known.rumour)) return this
+        val known = peers[instance] ?: return withPeer(PeerRecord(rumour.state, now, rumour.suspected))
+        return if (rumour.isNewerThan(known.rumour)) updating(known, rumour, now) else this
+    }
+
+    private fun MembershipState.updating(known: PeerRecord, rumour: Rumour, now: MonotonicTime): MembershipState {
         val sameRun = known.state.entry == rumour.state.entry
         val updated =
             PeerRecord(
@@ -103,17 +104,3 @@
         return copy(self = self.copy(beat = accused.beat + 1), announcedAt = now)
     }
 }
-
-/**
- * What a heartbeat carries besides membership.
- *
- * @property revision the newest configuration that this entry has
- * @property vetoes every veto that this entry holds
- */
-internal class HeartbeatContent(val revision: Revision, val vetoes: Collection<VersionVeto>) {
-    /** Hash of [vetoes] that does not depend on their order; 0 for none. */
-    val vetoDigest: Int = vetoes.fold(0) { hash, veto -> hash xor hash(veto) }
-
-    private fun hash(veto: VersionVeto): Int =
-        listOf(veto.move, veto.service.value, veto.version.value, veto.route.orEmpty()).hashCode()
-}
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Membership.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Membership.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.Revision
-import org.yuccajunction.rollout.VersionVeto
 import kotlin.math.abs
 import kotlin.random.Random
 
@@ -50,25 +49,21 @@
     /** Returns the heartbeats of the round that was begun last, with their targets. */
     public fun heartbeats(
         state: MembershipState,
-        revision: Revision,
-        vetoes: Collection<VersionVeto>,
+        content: HeartbeatContent,
         random: Random,
-    ): PersistentList<AddressedHeartbeat> {
-        val content = HeartbeatContent(revision, vetoes)
-        return targets
+    ): PersistentList<AddressedHeartbeat> =
+        targets
             .ofRound(state, random)
             .map { AddressedHeartbeat(it.endpoint, HeartbeatExchange.request(state, content, it.peer, random)) }
             .toPersistentList()
-    }
 
     /** Returns the answer to [received]. */
     public fun answer(
         state: MembershipState,
-        revision: Revision,
-        vetoes: Collection<VersionVeto>,
+        content: HeartbeatContent,
         received: Heartbeat,
         random: Random,
-    ): Heartbeat = HeartbeatExchange.answer(state, HeartbeatContent(revision, vetoes), received, random)
+    ): Heartbeat = HeartbeatExchange.answer(state, content, received, random)
 
     /** Returns [state] with what [heartbeat], a peer's own or its answer, told at [now]. */
     public fun learned(state: MembershipState, heartbeat: Heartbeat, now: MonotonicTime): MembershipState =
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/membership/MembershipNetwork.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/membership/MembershipNetwork.kt
@@ -90,7 +90,7 @@
         if (!membership.isRoundDue(states[entry], now)) return
         states[entry] = membership.beginRound(states[entry], revisions[entry], now, random)
         membership
-            .heartbeats(states[entry], revisions[entry], emptyList(), random)
+            .heartbeats(states[entry], HeartbeatContent(revisions[entry]), random)
             .forEach { send(entry, it.to.port - PORT_BASE, it.heartbeat, answered = true) }
     }
 
@@ -113,7 +113,14 @@
         val before = states[to]
         states[to] = membership.learned(before, heartbeat, now)
         if (heartbeat.revision > revisions[to]) revisions[to] = heartbeat.revision
-        if (answered) send(to, from, membership.answer(before, revisions[to], emptyList(), heartbeat, random), false)
+        if (answered) {
+            send(
+                to,
+                from,
+                membership.answer(before, HeartbeatContent(revisions[to]), heartbeat, random),
+                false,
+            )
+        }
     }
 
     private fun schedule(delay: Duration, action: () -> Unit) {
