--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -19,6 +19,7 @@
 import org.yuccajunction.control.InstanceController
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.control.MembershipController
+import org.yuccajunction.control.RolloutController
 import org.yuccajunction.control.ServerController
 import org.yuccajunction.entry.operating.OperatorContext
 import org.yuccajunction.entry.operating.OperatorsFile
@@ -135,6 +136,7 @@
                 InstanceController(),
                 ConfigurationController(),
                 ServerController(),
+                RolloutController(),
             )
         val state = ControlState(Blackboard(clock(), MembershipState(initialState())), controllers, random)
         lateinit var control: ControlThread
--- /dev/null
+++ b/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/SlopeMain.kt
@@ -0,0 +1,29 @@
+@file:JvmName("SlopeMain")
+
+package org.yuccajunction.load.slope
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+
+/** Prints what control costs an entry in fleets of growing size, as comma-separated values. */
+public fun main(arguments: Array<String>) {
+    val parser = ArgParser("yuccajunction-slopes")
+    val repeats by parser.option(ArgType.Int, "repeats", description = "Steps of each kind").default(300)
+    val seed by parser.option(ArgType.Int, "seed", description = "Seed of every random choice").default(1)
+    parser.parse(arguments)
+
+    val slopes = ControlSlopes(repeats, seed)
+    slopes.measure(SIZES.first())
+    println(SlopePoint.CSV_HEADER)
+    SIZES.flatMap(slopes::measure).forEach { println(it.toCsv()) }
+}
+
+private val SIZES =
+    listOf(
+        FleetSize(entries = 8, servers = 12, services = 2),
+        FleetSize(entries = 32, servers = 400, services = 10),
+        FleetSize(entries = 100, servers = 2_000, services = 20),
+        FleetSize(entries = 205, servers = 6_000, services = 40),
+        FleetSize(entries = 410, servers = 12_000, services = 40),
+    )
