--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
@@ -1,5 +1,6 @@
 package org.yuccajunction.entry
 
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.yuccajunction.configuration.DeploymentLoader
@@ -47,7 +48,7 @@
 
     private suspend fun answerFromStore(command: ControlCommand): ControlEvent? =
         when (command) {
-            is ControlCommand.ReadDeployment -> readDeployment()
+            is ControlCommand.ReadDeployment -> loaded(loader.load(deployment()))
             is ControlCommand.ReadObject -> ControlEvent.ObjectRead(command.key, ports.objects.read(command.key))
             is ControlCommand.WriteObject ->
                 ControlEvent.ObjectWritten(
@@ -69,17 +70,18 @@
             ?: ControlEvent.HeartbeatUnanswered(command.to)
 
     private suspend fun pull(command: ControlCommand.PullDeployment): ControlEvent =
-        ports.peers.pullDeployment(command.from)?.let(ControlEvent::DeploymentRead)
+        ports.peers.pullDeployment(command.from)?.let { ControlEvent.DeploymentRead(it, fromPeer = true) }
             ?: ControlEvent.PullUnanswered(command.from)
 
     private suspend fun listInstances(): ControlEvent =
         ports.instances.read()?.let(ControlEvent::InstancesListed) ?: ControlEvent.InstancesUnavailable
 
-    private suspend fun readDeployment(): ControlEvent =
-        when (val loaded = loader.load(deployment())) {
-            is LoadedDeployment.Loaded -> ControlEvent.DeploymentRead(loaded.deployment)
-            is LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration has been accepted")
-            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(loaded.detail)
+    private fun loaded(outcome: LoadedDeployment): ControlEvent =
+        when (outcome) {
+            is LoadedDeployment.Loaded ->
+                ControlEvent.DeploymentRead(outcome.deployment, findings = outcome.findings.toPersistentList())
+            LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration was accepted yet")
+            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(outcome.detail)
         }
 
     private suspend fun poll(command: ControlCommand.PollServer): ControlEvent =
--- a/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/ControlSlopes.kt
+++ b/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/ControlSlopes.kt
@@ -14,6 +14,7 @@
 import org.yuccajunction.control.ServerController
 import org.yuccajunction.control.routingTable
 import org.yuccajunction.membership.Heartbeat
+import org.yuccajunction.membership.Rumour
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.RequestClass
 import org.yuccajunction.model.Revision
@@ -65,7 +66,7 @@
         val micros = median {
             beat += 1
             val sender = fleet.entryState(random.nextInt(1, size.entries)).copy(beat = beat)
-            val rumours = List(RUMOURS) { fleet.entryState(random.nextInt(1, size.entries)).copy(beat = beat) }
+            val rumours = List(RUMOURS) { Rumour(fleet.entryState(random.nextInt(1, size.entries)).copy(beat = beat)) }
             running.after(TICK, ControlEvent.HeartbeatReceived(Heartbeat(sender, Revision(1), rumours = rumours)))
         }
         return SlopePoint("heartbeat received", size.entries, micros)
