Add a library for callers

Change: CallerClient asks for addresses and keeps them for their time, repeats a request under its identity, waits as long as a refusal asks, takes a new identity only where none of its sendings can have run, resumes streams after the last event that it holds, and ends in a sealed result. A stream that moves before its first token gets a problem document, since no event could name an offset.

--- /dev/null
+++ b/yuccajunction-caller/src/main/kotlin/org/yuccajunction/caller/CallerCall.kt
@@ -0,0 +1,16 @@
+package org.yuccajunction.caller
+
+import org.yuccajunction.model.Header
+
+/**
+ * One call to an application.
+ *
+ * @property target path and query as the application gets them
+ */
+public class CallerCall(
+    public val application: String,
+    public val method: String,
+    public val target: String,
+    public val body: ByteArray = ByteArray(0),
+    public val headers: List<Header> = emptyList(),
+)
--- /dev/null
+++ b/yuccajunction-caller/src/main/kotlin/org/yuccajunction/caller/CallerClient.kt
@@ -0,0 +1,55 @@
+package org.yuccajunction.caller
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import kotlinx.serialization.json.JsonObject
+import org.yuccajunction.model.MonotonicTime
+import kotlin.random.Random
+
+/**
+ * Calls models and applications through the system's entries.
+ *
+ * It asks for addresses and keeps them for their time, repeats a request under its identity, resumes broken streams
+ * after the last event that it holds, and follows streams that move to another entry. Close it after use.
+ *
+ * @param clock this process's monotonic clock
+ */
+public class CallerClient(
+    private val settings: CallerSettings,
+    private val random: Random = Random.Default,
+    private val clock: () -> MonotonicTime = { MonotonicTime(System.nanoTime()) },
+) : AutoCloseable {
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            followRedirects = false
+            engine {
+                requestTimeout = 0
+                endpoint { connectTimeout = CONNECT_TIMEOUT_MILLIS }
+            }
+        }
+    private val addresses = AddressBook(client, settings, clock)
+    private val entries = EntryClient(client, settings)
+
+    /** Calls an application and returns its answer, or why there is none. */
+    public suspend fun call(call: CallerCall): CallerResult = CallTries(this.tries(), entries, call).run()
+
+    /**
+     * Asks a model for an answer, giving each token to [onToken] once and in order.
+     *
+     * @param body the chat completion request, without `stream`
+     */
+    public suspend fun complete(body: JsonObject, onToken: suspend (String) -> Unit = {}): CallerResult =
+        StreamTries(this.tries(), entries, settings.silence, body, onToken).run()
+
+    override fun close() {
+        client.close()
+    }
+
+    private fun tries() = Tries(addresses, clock() + settings.tryTime, clock, random)
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/yuccajunction-caller/src/main/kotlin/org/yuccajunction/caller/EntryClient.kt
@@ -0,0 +1,101 @@
+package org.yuccajunction.caller
+
+import io.ktor.client.HttpClient
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.header
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsBytes
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.yuccajunction.model.Header
+import java.net.ConnectException
+import java.net.NoRouteToHostException
+
+/** Makes single exchanges with entries. */
+internal class EntryClient(private val client: HttpClient, private val settings: CallerSettings) {
+    /** Calls an application through the entry at [address]. */
+    suspend fun call(address: String, call: CallerCall, identity: Identity): Exchange =
+        guarded {
+            withTimeoutOrNull(settings.silence) {
+                client.prepareRequest("http://$address/apps/${call.application}${call.target}") {
+                    method = HttpMethod.parse(call.method)
+                    call.headers.forEach { header(it.name, it.value) }
+                    identified(identity)
+                    setBody(call.body)
+                }.execute { it.exchange() }
+            } ?: Exchange.Broken(left = true, "no answer within ${settings.silence}")
+        }
+
+    /** Opens a stream through the entry at [address] and gives its response to [read]. */
+    suspend fun stream(
+        address: String,
+        body: String,
+        identity: Identity,
+        lastEventId: String?,
+        read: suspend (HttpResponse) -> Exchange,
+    ): Exchange =
+        guarded {
+            client.prepareRequest("http://$address/v1/chat/completions") {
+                method = HttpMethod.Post
+                contentType(ContentType.Application.Json)
+                identified(identity)
+                lastEventId?.let { header("Last-Event-ID", it) }
+                setBody(body)
+            }.execute { response -> if (response.status.value == OK) read(response) else response.exchange() }
+        }
+
+    private fun HttpRequestBuilder.identified(identity: Identity) {
+        bearerAuth(settings.key)
+        identity.text?.let { header("Yucca-Request-Id", it) }
+    }
+
+    private suspend fun HttpResponse.exchange(): Exchange {
+        val bytes = bodyAsBytes()
+        val length = headers["Content-Length"]?.toLongOrNull()
+        if (length != null && length != bytes.size.toLong()) return Exchange.Broken(left = true, "a truncated answer")
+        val problem = if (isProblem()) problem(bytes) else null
+        if (problem != null) return Exchange.Problematic(problem, status.value)
+        val fields = headers.entries().flatMap { (name, values) -> values.map { Header(name, it) } }
+        return Exchange.Answered(status.value, fields, bytes)
+    }
+
+    private fun HttpResponse.isProblem(): Boolean =
+        headers["Content-Type"]?.startsWith(ContentType.Application.ProblemJson.toString()) == true
+
+    private fun problem(bytes: ByteArray): Problem? =
+        try {
+            JSON.decodeFromString<Problem>(bytes.decodeToString())
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private suspend fun guarded(exchange: suspend () -> Exchange): Exchange =
+        try {
+            exchange()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Exception) {
+            Exchange.Broken(!failure.isConnectFailure(), failure.toString())
+        }
+
+    private companion object {
+        const val OK = 200
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
+
+private fun Throwable.isConnectFailure(): Boolean =
+    generateSequence(this) { it.cause }.take(CAUSE_LIMIT).any {
+        it is ConnectException || it is ConnectTimeoutException || it is NoRouteToHostException
+    }
+
+private const val CAUSE_LIMIT = 8
--- /dev/null
+++ b/yuccajunction-caller/src/main/kotlin/org/yuccajunction/caller/StreamTries.kt
@@ -0,0 +1,105 @@
+package org.yuccajunction.caller
+
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.utils.io.readUTF8Line
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.put
+import kotlin.time.Duration
+
+/** Tries one request to a model until its answer is whole or given up. */
+internal class StreamTries(
+    private val tries: Tries,
+    private val entries: EntryClient,
+    private val silence: Duration,
+    private val body: JsonObject,
+    private val onToken: suspend (String) -> Unit,
+) {
+    private val reader = StreamReader()
+    private var identity: Identity? = null
+
+    suspend fun run(): CallerResult {
+        while (true) {
+            val entry = tries.next()
+            val sent = identity ?: tries.newIdentity(entry).also { identity = it }
+            val exchange = entries.stream(entry.address, requestBody(), sent, reader.lastEventId, ::read)
+            val result = result(entry, exchange)
+            if (result != null) return result
+        }
+    }
+
+    private suspend fun read(response: HttpResponse): Exchange {
+        val channel = response.bodyAsChannel()
+        var end: Exchange? = null
+        while (end == null) {
+            val line = withTimeoutOrNull(silence) { Line(channel.readUTF8Line(LINE_LIMIT)) }
+            end = if (line == null) Exchange.Broken(true, "the stream was silent for $silence") else read(line)
+        }
+        return end
+    }
+
+    /** Returns how the stream ends with [line], null where it goes on. */
+    private suspend fun read(line: Line): Exchange? {
+        val text = line.text ?: return Exchange.Broken(left = true, "the stream ended without its end marker")
+        return when (val event = reader.read(text)) {
+            is StreamEvent.Token -> null.also { onToken(event.text) }
+            is StreamEvent.Moved -> Exchange.Broken(true, "moved").also { tries.prefer(event.entry) }
+            is StreamEvent.Failed -> Exchange.Problematic(event.problem, STREAM_FAILED)
+            is StreamEvent.Done -> Exchange.Answered(OK, emptyList(), ByteArray(0))
+            is StreamEvent.Invalid -> Exchange.Broken(left = true, event.detail)
+            null -> null
+        }
+    }
+
+    private suspend fun result(entry: NamedEntry, exchange: Exchange): CallerResult? =
+        when (exchange) {
+            is Exchange.Answered -> CallerResult.Completed(reader.text, reader.finishReason)
+            is Exchange.Problematic -> problem(entry, exchange)
+            is Exchange.Broken ->
+                if (tries.failedAt(entry)) null else CallerResult.Failed(STREAM_FAILED, exchange.detail)
+        }
+
+    private suspend fun problem(entry: NamedEntry, exchange: Exchange.Problematic): CallerResult? {
+        val problem = exchange.problem
+        if (problem.outcome == "moved") problem.entries.firstOrNull()?.let(tries::prefer)
+        if (exchange.status !in CALLER_ERRORS && tries.refusedAt(entry, problem)) return null
+        val began = reader.lastEventId != null
+        return when {
+            problem.notRun && !began -> CallerResult.Refused(problem.detail)
+            else -> CallerResult.Failed(exchange.status, problem.detail)
+        }
+    }
+
+    /** Repeats the text that the caller holds, so that any entry can go on from it. */
+    private fun requestBody(): String {
+        val fields = body + ("stream" to JsonPrimitive(true))
+        if (reader.text.isEmpty()) return JsonObject(fields).toString()
+        val held =
+            buildJsonObject {
+                put("role", "assistant")
+                put("content", reader.text)
+            }
+        val messages = JsonArray(body["messages"]?.jsonArray.orEmpty() + held)
+        val continued =
+            mapOf(
+                "messages" to messages,
+                "continue_final_message" to JsonPrimitive(true),
+                "add_generation_prompt" to JsonPrimitive(false),
+            )
+        return JsonObject(fields + continued).toString()
+    }
+
+    private class Line(val text: String?)
+
+    private companion object {
+        const val LINE_LIMIT = 1_048_576
+        const val OK = 200
+        const val STREAM_FAILED = 502
+        val CALLER_ERRORS = setOf(400, 401, 404, 413)
+    }
+}
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionResponses.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionResponses.kt
@@ -33,7 +33,7 @@
     private suspend fun sendEvents(call: ApplicationCall, stream: HeldStream, from: Int) {
         val first = stream.progress.first { it.end != null || stream.baseTokens + it.tokens.size > from }
         val isEmpty = stream.baseTokens + first.tokens.size <= from
-        val early = first.end?.ending?.takeIf { isEmpty && it.isProblem() }
+        val early = first.end?.ending?.takeIf { isEmpty && it !is Ending.Completed }
         if (early != null) return respondEnding(call, early)
         call.response.cacheControl(CacheControl.NoCache(null))
         call.respondTextWriter(ContentType.Text.EventStream) { writeEvents(stream, from) }
@@ -118,8 +118,6 @@
         call.respondText(answer.toString(), ContentType.Application.Json)
     }
 
-    private fun Ending.isProblem(): Boolean = this !is Ending.Completed && this !is Ending.Moved
-
     private suspend fun respondEnding(call: ApplicationCall, ending: Ending) {
         if (ending is Ending.Refused) state.meters.refused(ending.reason.code)
         call.respondProblem(state.problems.of(ending))
