Check the document against described shapes and report every finding together

Cause: the decoder of the YAML library stops at its first fault and knows no ranges, units or rules across sections. Change: each section has a described shape; the reader walks the node tree against it, and decodes only what fits. Rules across sections name section, path and line; a section that breaks one keeps its previous content. Ruled out: a regular expression for the start of a line. It overflowed the stack on 100,000 list markers; the depth check counts characters now. The fuzz test found that the parser throws an exception of its own, which is no YAML exception of the library, for control characters; it is a finding now.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/document/DeploymentReader.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/document/DeploymentReader.kt
@@ -2,60 +2,93 @@
 
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlException
-import kotlinx.serialization.DeserializationStrategy
+import com.charleskorn.kaml.YamlNode
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.builtins.ListSerializer
 import org.yuccajunction.model.Finding
 import org.yuccajunction.model.Revision
 
-/** Reads the YAML text of sections into a [Deployment]. */
+/**
+ * Reads the YAML text of sections into a [Deployment].
+ *
+ * No text makes it throw: what can't be read is a finding. Size, depth and the number of elements and findings are
+ * limited.
+ */
 public object DeploymentReader {
     /**
      * Reads [sections] over [previous]: a section with findings keeps its previous content.
      *
-     * Sections that [sections] does not hold are left as they are in [previous].
+     * Sections that [sections] does not hold are left as they are in [previous]. Findings of all sections are reported
+     * together, those across sections too where each section alone can be read.
      */
     public fun read(
         sections: Map<SectionName, String>,
         revision: Revision,
         previous: Deployment = Deployment(),
     ): DeploymentReading {
-        val findings = mutableListOf<Finding>()
-        val deployment = sections.entries.fold(previous) { deployment, (name, text) ->
-            deployment.withSection(name, text, findings)
+        val read = sections.mapValues { (name, text) -> readSection(name, text) }
+        val findings = read.values.flatMap { it.findings }.toMutableList()
+        val accepted = read.filterValues { it.findings.isEmpty() }.toMutableMap()
+        do {
+            val candidate = over(previous, accepted)
+            val broken = DeploymentRules { section, path -> read[section]?.nodes?.line(path) }.findings(candidate)
+            findings += broken - findings.toSet()
+            val withdrawn = broken.mapNotNull { SectionName.of(it.section) }.filter { it in accepted }
+            accepted -= withdrawn.toSet()
+        } while (withdrawn.isNotEmpty())
+        return DeploymentReading(over(previous, accepted).copy(revision = revision), findings)
+    }
+
+    private fun over(previous: Deployment, sections: Map<SectionName, ReadSection>): Deployment =
+        sections.entries.fold(previous) { deployment, (name, section) -> deployment.with(name, section.content) }
+
+    private fun readSection(name: SectionName, text: String): ReadSection =
+        YamlTree.parse(name.key, text).fold(
+            { ReadSection(findings = listOf(it)) },
+            { root -> if (root == null) ReadSection(findings = listOf(empty(name))) else readNode(name, root) },
+        )
+
+    private fun readNode(name: SectionName, root: YamlNode): ReadSection {
+        val findings = ShapeCheck(name.key).findings(root, SectionShapes.of(name))
+        if (findings.isNotEmpty()) return ReadSection(SectionNodes(root), findings)
+        return try {
+            ReadSection(SectionNodes(root), content = decode(name, root))
+        } catch (exception: YamlException) {
+            ReadSection(findings = listOf(Finding(name.key, "", exception.line, exception.message)))
+        } catch (exception: IllegalArgumentException) {
+            ReadSection(findings = listOf(Finding(name.key, "", null, exception.message ?: "unreadable")))
         }
-        return DeploymentReading(deployment.copy(revision = revision), findings)
     }
+
+    private fun empty(name: SectionName) = Finding(name.key, "", 1, "has no content; write [] or {} for none")
+
+    private fun decode(name: SectionName, root: YamlNode): Deployment =
+        when (name) {
+            SectionName.MODELS -> Deployment(models = elements(ModelSection.serializer(), root))
+            SectionName.APPLICATIONS -> Deployment(applications = elements(ApplicationSection.serializer(), root))
+            SectionName.AVAILABILITY_ZONES ->
+                Deployment(availabilityZones = elements(AvailabilityZoneSection.serializer(), root))
+            SectionName.VERSIONS -> Deployment(versions = elements(VersionMove.serializer(), root))
+            SectionName.TRAFFIC_RULES ->
+                Deployment(trafficRules = Yaml.default.decodeFromYamlNode(TrafficRules.serializer(), root))
+        }
+
+    private fun <T> elements(serializer: KSerializer<T>, root: YamlNode): List<T> =
+        Yaml.default.decodeFromYamlNode(ListSerializer(serializer), root)
+
+    private fun Deployment.with(name: SectionName, content: Deployment): Deployment =
+        when (name) {
+            SectionName.MODELS -> copy(models = content.models)
+            SectionName.APPLICATIONS -> copy(applications = content.applications)
+            SectionName.AVAILABILITY_ZONES -> copy(availabilityZones = content.availabilityZones)
+            SectionName.VERSIONS -> copy(versions = content.versions)
+            SectionName.TRAFFIC_RULES -> copy(trafficRules = content.trafficRules)
+        }
 }
 
-private fun Deployment.withSection(name: SectionName, text: String, findings: MutableList<Finding>): Deployment =
-    when (name) {
-        SectionName.MODELS ->
-            decode(name, text, ListSerializer(ModelSection.serializer()), findings)?.let { copy(models = it) }
-        SectionName.APPLICATIONS ->
-            decode(name, text, ListSerializer(ApplicationSection.serializer()), findings)?.let {
-                copy(applications = it)
-            }
-        SectionName.AVAILABILITY_ZONES ->
-            decode(name, text, ListSerializer(AvailabilityZoneSection.serializer()), findings)
-                ?.let { copy(availabilityZones = it) }
-        SectionName.VERSIONS ->
-            decode(name, text, ListSerializer(VersionMove.serializer()), findings)?.let { copy(versions = it) }
-        SectionName.TRAFFIC_RULES ->
-            decode(name, text, TrafficRules.serializer(), findings)?.let { copy(trafficRules = it) }
-    } ?: this
-
-private fun <T> decode(
-    name: SectionName,
-    text: String,
-    deserializer: DeserializationStrategy<T>,
-    findings: MutableList<Finding>,
-): T? =
-    try {
-        Yaml.default.decodeFromString(deserializer, text)
-    } catch (exception: YamlException) {
-        findings += Finding(name.key, exception.path.toHumanReadableString(), exception.line, exception.message)
-        null
-    } catch (exception: IllegalArgumentException) {
-        findings += Finding(name.key, "", null, exception.message ?: "unreadable")
-        null
-    }
+/** One section as far as it could be read; [content] holds nothing but this section. */
+private class ReadSection(
+    val nodes: SectionNodes = SectionNodes(null),
+    val findings: List<Finding> = emptyList(),
+    val content: Deployment = Deployment(),
+)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/document/YamlTree.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/document/YamlTree.kt
@@ -20,7 +20,7 @@
     /** The most brackets and braces that are open at once. */
     private const val MAXIMUM_OPEN_BRACKETS = 16
 
-    private val lineStart = Regex("^[ \\t]*(?:[-?:][ \\t]+)*")
+    private const val INDENTATION_CHARACTERS = " \t-?:"
 
     /** Returns the root of [text], null for a text without content, or the one finding that keeps it from parsing. */
     fun parse(section: String, text: String): Either<Finding, YamlNode?> {
@@ -31,8 +31,8 @@
             null.right()
         } catch (exception: YamlException) {
             Finding(section, "", exception.line, exception.message).left()
-        } catch (exception: IllegalArgumentException) {
-            Finding(section, "", null, exception.message ?: "unreadable").left()
+        } catch (exception: RuntimeException) {
+            Finding(section, "", null, "is no YAML: " + exception.message?.lineSequence()?.first().orEmpty()).left()
         }
     }
 
@@ -43,7 +43,15 @@
         var open = 0
         text.lineSequence().forEachIndexed { index, line ->
             open = openBrackets(line, open)
-            val indentation = lineStart.find(line)?.value?.length ?: 0
+            val indentation = line.indexOfFirst { it !in INDENTATION_CHARACTERS }.let {
+                if (it <
+                    0
+                ) {
+                    line.length
+                } else {
+                    it
+                }
+            }
             if (open > MAXIMUM_OPEN_BRACKETS || indentation > MAXIMUM_INDENTATION) {
                 return Finding(section, "", index + 1, "nested too deeply")
             }
