--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RolloutController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RolloutController.kt
@@ -27,8 +27,8 @@
  * Moves versions by evidence.
  *
  * Every entry compares the versions in its own traffic and vetoes a bad one for itself at once; vetoes and counts
- * travel with heartbeats. The holder of the lease [LEASE] raises the share or takes the move back, and writes the status
- * that all entries follow. Without the object API shares stay as they are and vetoes go on working.
+ * travel with heartbeats. The holder of the lease [LEASE] raises the share or takes the move back, and writes the
+ * status that all entries follow. Without the object API shares stay as they are and vetoes go on working.
  */
 public class RolloutController : Controller {
     override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveSchedule.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveSchedule.kt
@@ -84,7 +84,16 @@
         if (situation.inStep < step) return "the share is being watched"
         val samples = situation.evidence.new.samples - situation.samplesAtStep
         val wanted = if (situation.inStep >= step * PATIENCE) LEAST_SAMPLES else WANTED_SAMPLES
-        if (samples < wanted) return "$samples of $wanted attempts at ${move.to} were seen"
+        return if (samples <
+            wanted
+        ) {
+            "$samples of $wanted attempts at ${move.to} were seen"
+        } else {
+            lack(move, current, situation)
+        }
+    }
+
+    private fun lack(move: VersionMove, current: MoveStatus, situation: Situation): String? {
         val needed = situation.neededCapacity * minOf(1.0, current.share * 2)
         val enough = needed <= situation.newCapacity * FULL_USE
         return if (enough) null else "servers of ${move.to} bear ${situation.newCapacity} requests, not $needed"
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/RolloutModelTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/RolloutModelTest.kt
@@ -19,7 +19,7 @@
     @Test
     fun `a good version is in force in time although its servers start cold`() {
         SEEDS.forEach { seed ->
-            val run = Run(seed).run { second, new -> if (second == 8) new.forEach { it.coldLimit = null } }
+            val run = ModelledMove(seed).drive { second, new -> if (second == 8) new.warm() }
             assertEquals(MovePhase.DONE, run.status.phase, "seed $seed: ${run.status}")
             assertTrue(run.status.elapsedSeconds <= MOVE.completeWithinSeconds)
         }
@@ -28,7 +28,7 @@
     @Test
     fun `a version that fails at once is taken back within its first share`() {
         SEEDS.forEach { seed ->
-            val run = Run(seed) { new -> new.forEach { it.fails = { true } } }.run()
+            val run = ModelledMove(seed) { new -> new.fail() }.drive()
             run.assertTakenBack("failed")
             println("failing at once: share of requests at the new version ${run.shareOfNew()}")
             assertTrue(run.shareOfNew() <= 0.05, "seed $seed: ${run.shareOfNew()}")
@@ -39,7 +39,7 @@
     @Test
     fun `a version that fails later is taken back`() {
         SEEDS.forEach { seed ->
-            val run = Run(seed).run { second, new -> if (second == 40) new.forEach { it.fails = { true } } }
+            val run = ModelledMove(seed).drive { second, new -> if (second == 40) new.fail() }
             run.assertTakenBack("failed")
             run.assertNothingNewAfterFaults(faultsFromSecond = 40)
         }
@@ -48,7 +48,7 @@
     @Test
     fun `a version that fails on one route only is taken back`() {
         SEEDS.forEach { seed ->
-            val run = Run(seed) { new -> new.forEach { it.fails = { route -> route == "tag" } } }.run()
+            val run = ModelledMove(seed) { new -> new.forEach { it.fails = { route -> route == "tag" } } }.drive()
             run.assertTakenBack("tag")
         }
     }
@@ -56,7 +56,7 @@
     @Test
     fun `a slow version is taken back`() {
         SEEDS.forEach { seed ->
-            val run = Run(seed) { new -> new.forEach { it.speed = 3.0 } }.run()
+            val run = ModelledMove(seed) { new -> new.forEach { it.speed = 3.0 } }.drive()
             run.assertTakenBack("slow")
             assertTrue(run.shareOfNew() <= 0.1, "seed $seed: ${run.shareOfNew()}")
         }
@@ -65,14 +65,14 @@
     @Test
     fun `a version that is slow under load only is taken back`() {
         SEEDS.forEach { seed ->
-            Run(seed) { new -> new.forEach { it.slowAbove = 2 } }.run().assertTakenBack("slow")
+            ModelledMove(seed) { new -> new.forEach { it.slowAbove = 2 } }.drive().assertTakenBack("slow")
         }
     }
 
     @Test
     fun `load that slows both versions is not taken for a fault of the new one`() {
         SEEDS.forEach { seed ->
-            val run = Run(seed, load = 2.0).run()
+            val run = ModelledMove(seed, load = 2.0).drive()
             assertEquals(MovePhase.DONE, run.status.phase, "seed $seed: ${run.status}")
         }
     }
@@ -81,9 +81,9 @@
     fun `without the store the share stays and a veto goes on working`() {
         SEEDS.forEach { seed ->
             val run =
-                Run(seed).run { second, new ->
+                ModelledMove(seed).drive { second, new ->
                     if (second == 25) store.available = false
-                    if (second == 60) new.forEach { it.fails = { true } }
+                    if (second == 60) new.fail()
                 }
             assertEquals(MovePhase.MOVING, run.status.phase)
             run.assertNothingNewAfterFaults(faultsFromSecond = 60)
@@ -92,11 +92,11 @@
 
     @Test
     fun `a move without servers of the new version is taken back at its time`() {
-        val run = Run(1, newServers = 0).run()
+        val run = ModelledMove(1, newServers = 0).drive()
         run.assertTakenBack("no server of v2")
     }
 
-    private inner class Run(
+    private class ModelledMove(
         private val seed: Int,
         private val load: Double = 1.0,
         newServers: Int = 8,
@@ -129,7 +129,11 @@
             prepare(new)
         }
 
-        fun run(at: Run.(Int, List<ServerModel>) -> Unit = { second, new -> warmUp(second, new) }): Run {
+        fun drive(
+            at: ModelledMove.(Int, List<ServerModel>) -> Unit = { second, new ->
+                warmUp(second, new)
+            },
+        ): ModelledMove {
             model.run(MOVE.completeWithinSeconds.toInt() + 10) { second ->
                 warmUp(second, new)
                 at(second, new)
@@ -138,7 +142,7 @@
         }
 
         private fun warmUp(second: Int, servers: List<ServerModel>) {
-            if (second == 8) servers.forEach { it.coldLimit = null }
+            if (second == 8) servers.warm()
         }
 
         fun shareOfNew(): Double = newDispatches().size.toDouble() / model.dispatches.size
@@ -163,6 +167,10 @@
     }
 
     private companion object {
+        fun List<ServerModel>.warm() = forEach { it.coldLimit = null }
+
+        fun List<ServerModel>.fail() = forEach { it.fails = { true } }
+
         val SEEDS = 1..Integer.getInteger("model.seeds", 3)
         const val TEN_FAULTS = 9
         val MOVE = VersionMove("talker-v2", TALKER, VERSION_1, VERSION_2, completeWithinSeconds = 120)
