--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -11,11 +11,13 @@
 import org.yuccajunction.membership.EntryState
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.EntryIncarnation
 import org.yuccajunction.model.ServiceKind
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.model.ServiceVersion
 import org.yuccajunction.rollout.VersionShares
 import org.yuccajunction.routing.EntryAddress
+import org.yuccajunction.routing.HomeAddress
 import org.yuccajunction.routing.RoutingTable
 import org.yuccajunction.routing.ServerRecord
 import org.yuccajunction.routing.ServerRoute
@@ -34,6 +36,7 @@
         weights = deployment.trafficRules.workspaces.associate { it.name to it.weight }.toPersistentMap(),
         madeAt = board.now,
         entries = entries(board, takenOut),
+        homes = homes(board),
         leaving = board.membership.self.leaving,
         retryShare = deployment.trafficRules.retryShare,
         addressAnswerSeconds = deployment.trafficRules.addressAnswerSeconds,
@@ -149,10 +152,16 @@
 private fun entries(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentList<EntryAddress> {
     val peers = board.membership.peers.values.filterNot { it.suspected }.map { it.state }
     return (listOf(board.membership.self) + peers)
-        .filterNot { it.leaving || it.availabilityZone in takenOut }
+        .filterNot { it.starting || it.leaving || it.availabilityZone in takenOut }
         .map { it.address() }
         .toPersistentList()
 }
 
+private fun homes(board: Blackboard): PersistentMap<EntryIncarnation, HomeAddress> {
+    val peers = board.membership.peers.values.map { it.state }
+    val endpoints = (peers + board.membership.self).associate { it.entry to it.peerEndpoint }
+    return peers.associate { it.entry to HomeAddress(it.peerEndpoint, endpoints[it.successor]) }.toPersistentMap()
+}
+
 private fun EntryState.address() =
     EntryAddress(entry, availabilityZone, callerEndpoint, peerEndpoint, load, identityEpoch)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/RoutingTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/routing/RoutingTable.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.yuccajunction.document.WorkspaceRule
 import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.EntryIncarnation
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
@@ -19,6 +20,7 @@
  *
  * @property workspaces rules by the SHA-256 of the key, in lower-case hexadecimal
  * @property entries the entries that take new work, this one included while it does
+ * @property homes the other entries that may be home of a request, leaving ones included
  * @property weights share of each workspace against the others when capacity is short
  * @property madeAt when the control thread made this table
  * @property leaving whether this entry has begun its graceful shutdown
@@ -31,6 +33,7 @@
     public val weights: PersistentMap<WorkspaceId, Double> = persistentMapOf(),
     public val madeAt: MonotonicTime = MonotonicTime.ZERO,
     public val entries: PersistentList<EntryAddress> = persistentListOf(),
+    public val homes: PersistentMap<EntryIncarnation, HomeAddress> = persistentMapOf(),
     public val leaving: Boolean = false,
     public val retryShare: Double = 0.1,
     public val addressAnswerSeconds: Long = 5,
