--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/CommandPerformer.kt
@@ -48,7 +48,7 @@
 
     private suspend fun answerFromStore(command: ControlCommand): ControlEvent? =
         when (command) {
-            is ControlCommand.ReadDeployment -> readDeployment()
+            is ControlCommand.ReadDeployment -> loaded(loader.load(deployment()))
             is ControlCommand.ReadObject -> ControlEvent.ObjectRead(command.key, ports.objects.read(command.key))
             is ControlCommand.WriteObject ->
                 ControlEvent.ObjectWritten(
@@ -76,12 +76,12 @@
     private suspend fun listInstances(): ControlEvent =
         ports.instances.read()?.let(ControlEvent::InstancesListed) ?: ControlEvent.InstancesUnavailable
 
-    private suspend fun readDeployment(): ControlEvent =
-        when (val loaded = loader.load(deployment())) {
+    private fun loaded(outcome: LoadedDeployment): ControlEvent =
+        when (outcome) {
             is LoadedDeployment.Loaded ->
-                ControlEvent.DeploymentRead(loaded.deployment, findings = loaded.findings.toPersistentList())
-            is LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration has been accepted")
-            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(loaded.detail)
+                ControlEvent.DeploymentRead(outcome.deployment, findings = outcome.findings.toPersistentList())
+            LoadedDeployment.Absent -> ControlEvent.DeploymentUnavailable("no configuration was accepted yet")
+            is LoadedDeployment.Unavailable -> ControlEvent.DeploymentUnavailable(outcome.detail)
         }
 
     private suspend fun poll(command: ControlCommand.PollServer): ControlEvent =
