Follow the head of the configuration by one watch, and ask peers before trusting the store

Cause: polling costs a read a second for each entry; a new entry took what a restored store offered although its peers had accepted more. Change: the head is listed and then watched; after a failure, or when versions of the store go back, it is listed again. An entry without a configuration waits for a peer, at most 3 s, unless it is alone in the list. A reading that failed is repeated with growing intervals. What an entry tells of itself gets a new beat when it differs from what it last told, at most every 2 s, so that evidence about versions travels too; urgent changes go with the next round.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ConfigurationController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ConfigurationController.kt
@@ -1,70 +1,125 @@
 package org.yuccajunction.control
 
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.yuccajunction.configuration.ConfigurationSettings
+import org.yuccajunction.configuration.ObjectKeys
 import org.yuccajunction.document.Deployment
 import org.yuccajunction.membership.Heartbeat
+import org.yuccajunction.model.Finding
+import org.yuccajunction.model.InstanceId
+import org.yuccajunction.model.InstanceRole
+import org.yuccajunction.model.Revision
 import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Puts accepted configurations in force at this entry, from the object API or from peers, and never an older one.
  *
- * @param interval time between two readings of the head while the object API answers
+ * The head in the object API is watched, and every heartbeat tells the sender's revision, so that either way is enough.
+ * Where the object API was restored to an older state, its content is ignored until a change is accepted under a
+ * revision above the highest that any entry has heard of; the editor of configurations builds such a change on what is
+ * in force. An entry without a configuration asks its peers first, since the object API may hold an older one.
  */
-public class ConfigurationController(private val interval: Duration = 1.seconds) : Controller {
+public class ConfigurationController(private val settings: ConfigurationSettings = ConfigurationSettings()) :
+    Controller {
+    private val follower = HeadFollower(settings)
+
     override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep =
         when (event) {
             ControlEvent.Ticked -> onTick(board, random)
-            is ControlEvent.DeploymentRead -> onRead(board, event.deployment)
+            is ControlEvent.ObjectsListed ->
+                if (event.prefix == ObjectKeys.DEPLOYMENT_HEAD) {
+                    follower.onListed(board, event.listing)
+                } else {
+                    ControlStep(board)
+                }
+            is ControlEvent.DeploymentRead ->
+                if (event.fromPeer) onPulled(board, event.deployment) else onRead(board, event)
             is ControlEvent.DeploymentUnavailable -> ControlStep(onUnavailable(board))
             is ControlEvent.HeartbeatReceived -> onHeartbeat(board, event.heartbeat)
+            is ControlEvent.PullUnanswered ->
+                ControlStep(board.copy(configuration = board.configuration.copy(pullingSince = null)))
             else -> ControlStep(board)
         }
 
     private fun onTick(board: Blackboard, random: Random): ControlStep {
-        val configuration = board.configuration
-        if (!configuration.reading.isDue(board.now)) return ControlStep(board)
-        val reading = configuration.reading.started(board.now, interval, random)
-        return ControlStep(
-            board.copy(configuration = configuration.copy(reading = reading)),
-            persistentListOf(ControlCommand.ReadDeployment),
-        )
+        val followed = follower.onTick(board, random)
+        val offered = considerOffer(followed.board)
+        val read = readIfNewer(offered.board, random)
+        return ControlStep(read.board, followed.commands.addAll(offered.commands).addAll(read.commands))
+    }
+
+    private fun readIfNewer(board: Blackboard, random: Random): ControlStep {
+        val state = board.configuration
+        val known = maxOf(board.deployment.revision, state.offered?.revision ?: Revision.NONE)
+        val isWanted = state.stored > known && !state.isReading && state.reading.isDue(board.now)
+        if (!isWanted) return ControlStep(board)
+        val next = state.copy(isReading = true, reading = state.reading.started(board.now, settings.retry, random))
+        return ControlStep(board.copy(configuration = next), persistentListOf(ControlCommand.ReadDeployment))
+    }
+
+    private fun onRead(board: Blackboard, event: ControlEvent.DeploymentRead): ControlStep {
+        val state = board.configuration
+        val read =
+            state
+                .copy(isReading = false, reading = state.reading.succeeded().hastened())
+                .hearing(event.deployment.revision)
+        val heard = board.copy(configuration = read)
+        val findings = findings(event.findings)
+        if (board.deployment.revision > Revision.NONE) {
+            val accepted = accepted(heard, event.deployment)
+            return ControlStep(accepted.board, accepted.commands.addAll(findings))
+        }
+        val offer = read.copy(offered = event.deployment, offeredAt = state.offeredAt ?: board.now)
+        val considered = considerOffer(board.copy(configuration = offer))
+        return ControlStep(considered.board, considered.commands.addAll(findings))
     }
 
-    private fun onRead(board: Blackboard, deployment: Deployment): ControlStep {
-        val configuration = board.configuration
-        val updated =
-            configuration.copy(
-                highest = maxOf(configuration.highest, deployment.revision),
-                reading = configuration.reading.succeeded(),
-                pullingSince = null,
-            )
-        val heard = board.copy(configuration = updated)
-        if (deployment.revision <= board.deployment.revision) return ControlStep(heard)
+    /** Puts the offered configuration in force where no peer can be expected to have a newer one. */
+    private fun considerOffer(board: Blackboard): ControlStep {
+        val state = board.configuration
+        val offered = state.offered ?: return ControlStep(board)
+        val waited = state.offeredAt?.let { board.now - it >= settings.peerTimeout } ?: false
+        val isAlone =
+            board.membership.listedAt != null && board.membership.instances.values.none { isPeer(board, it.id) }
+        val peersHaveNone = board.membership.contactAt != null && state.highest <= offered.revision && !isPulling(board)
+        return if (waited || isAlone || peersHaveNone) accepted(board, offered) else ControlStep(board)
+    }
+
+    private fun isPeer(board: Blackboard, instance: InstanceId): Boolean =
+        instance != board.membership.self.entry.instance &&
+            board.membership.instances[instance]?.role == InstanceRole.ENTRY
+
+    private fun isPulling(board: Blackboard): Boolean =
+        board.configuration.pullingSince?.let { board.now - it < settings.pullTimeout } ?: false
+
+    private fun onPulled(board: Blackboard, deployment: Deployment): ControlStep =
+        accepted(
+            board.copy(configuration = board.configuration.copy(pullingSince = null).hearing(deployment.revision)),
+            deployment,
+        )
+
+    private fun accepted(board: Blackboard, deployment: Deployment): ControlStep {
+        if (deployment.revision <= board.deployment.revision) return ControlStep(board)
+        val state = board.configuration.copy(offered = null, offeredAt = null).hearing(deployment.revision)
         val log = ControlCommand.Log(LogEvent.DEPLOYMENT_ACCEPTED, "revision ${deployment.revision}")
-        return ControlStep(heard.copy(deployment = deployment), persistentListOf(log))
+        return ControlStep(board.copy(deployment = deployment, configuration = state), persistentListOf(log))
     }
 
-    private fun onUnavailable(board: Blackboard): Blackboard =
-        board.copy(configuration = board.configuration.copy(reading = board.configuration.reading.failed()))
+    private fun onUnavailable(board: Blackboard): Blackboard {
+        val state = board.configuration
+        return board.copy(configuration = state.copy(isReading = false, reading = state.reading.failed()))
+    }
 
     private fun onHeartbeat(board: Blackboard, heartbeat: Heartbeat): ControlStep {
-        val configuration = board.configuration
-        val pulling = configuration.pullingSince?.let { board.now - it < PULL_TIMEOUT } ?: false
-        if (heartbeat.revision <= board.deployment.revision || pulling) return ControlStep(board)
-        val updated =
-            configuration.copy(
-                highest = maxOf(configuration.highest, heartbeat.revision),
-                pullingSince = board.now,
-            )
+        val heard = board.copy(configuration = board.configuration.hearing(heartbeat.revision))
+        if (heartbeat.revision <= board.deployment.revision || isPulling(board)) return ControlStep(heard)
         return ControlStep(
-            board.copy(configuration = updated),
+            heard.copy(configuration = heard.configuration.copy(pullingSince = board.now)),
             persistentListOf(ControlCommand.PullDeployment(heartbeat.sender.peerEndpoint)),
         )
     }
 
-    private companion object {
-        val PULL_TIMEOUT = 3.seconds
-    }
+    private fun findings(found: List<Finding>) =
+        found.map { ControlCommand.Log(LogEvent.DEPLOYMENT_FAULTY, it.toString()) }.toPersistentList()
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -16,6 +16,11 @@
     DEPLOYMENT_IGNORED(2002, LogLevel.WARN, "An older configuration was offered and ignored."),
     STORE_UNAVAILABLE(2003, LogLevel.WARN, "The object API does not answer; the last state stays in force."),
     STORE_AVAILABLE(2004, LogLevel.INFO, "The object API answers again."),
+    DEPLOYMENT_FAULTY(
+        2005,
+        LogLevel.WARN,
+        "A section of an accepted configuration has a fault; its last content stays.",
+    ),
     PEER_JOINED(3001, LogLevel.INFO, "Another entry was heard of for the first time."),
     PEER_SUSPECTED(3002, LogLevel.WARN, "Another entry was silent for longer than the suspicion timeout."),
     PEER_RETURNED(3003, LogLevel.INFO, "A suspected entry was heard of again."),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
@@ -68,9 +68,13 @@
         val learned = told.fold(state) { learned, rumour -> learned.learning(rumour, now) }
         val sender = learned.peers[heartbeat.sender.entry.instance] ?: return learned
         val touched =
-            sender.copy(contactAt = now, digest = heartbeat.digest, vetoDigest = heartbeat.vetoDigest)
-        val isCurrent = sender.state.entry == heartbeat.sender.entry
-        if (!isCurrent) return learned
+            sender.copy(
+                state = if (sender.state.beat == heartbeat.sender.beat) heartbeat.sender else sender.state,
+                contactAt = now,
+                digest = heartbeat.digest,
+                vetoDigest = heartbeat.vetoDigest,
+            )
+        if (sender.state.entry != heartbeat.sender.entry) return learned
         return learned.withPeer(touched).copy(contactAt = now)
     }
 
@@ -101,6 +105,6 @@
         val accused = rumour.state
         val applies = accused.entry == self.entry && (rumour.suspected || accused.beat > self.beat)
         if (!applies || accused.beat < self.beat) return this
-        return copy(self = self.copy(beat = accused.beat + 1), announcedAt = now)
+        return withBeat(self, accused.beat + 1, now)
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Membership.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/Membership.kt
@@ -38,12 +38,20 @@
     }
 
     private fun announced(state: MembershipState, revision: Revision, now: MonotonicTime): MembershipState {
+        val isLoadNews = abs(state.load - state.told.load) >= LOAD_STEP
+        val load = if (isLoadNews) state.load else state.told.load
+        val current = state.self.copy(revision = revision, load = load)
+        val isDue = isUrgent(state.told, current) || hasWaited(state, now)
+        return if (current != state.told && isDue) state.withBeat(current, state.self.beat + 1, now) else state
+    }
+
+    private fun isUrgent(told: EntryState, current: EntryState): Boolean =
+        told.leaving != current.leaving || told.starting != current.starting || told.successor != current.successor
+
+    private fun hasWaited(state: MembershipState, now: MonotonicTime): Boolean {
         val interval =
             maxOf(settings.announcementInterval, settings.announcementIntervalPerPeer * state.livePeers.size)
-        val waited = state.announcedAt == null || now - state.announcedAt >= interval
-        val loadChanged = abs(state.load - state.self.load) >= LOAD_STEP
-        if (!waited || !(loadChanged || revision != state.self.revision)) return state
-        return state.announcing(now) { it.copy(revision = revision, load = state.load) }
+        return state.announcedAt == null || now - state.announcedAt >= interval
     }
 
     /** Returns the heartbeats of the round that was begun last, with their targets. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
@@ -23,8 +23,9 @@
  * @property partners peers that heartbeats go to besides the watched ones, the oldest first
  * @property removed entries that were forgotten lately
  * @property load open requests over the entry's limit as last measured, from 0 to 1
- * @property announcedAt when [self] last changed
+ * @property announcedAt when [told] last changed
  * @property round number of rounds of heartbeats so far
+ * @property told [self] as it was when it last got a new beat
  * @property peersDigest digest of [peers]; use [withPeer] and [withoutPeer] to change both
  */
 public data class MembershipState(
@@ -42,6 +43,7 @@
     public val load: Double = 0.0,
     public val announcedAt: MonotonicTime? = null,
     public val round: Long = 0,
+    public val told: EntryState = self,
     public val peersDigest: MembershipDigest = MembershipDigest.of(peers.values.map { it.rumour }),
 ) {
     /** The peers that are not suspected. */
@@ -79,6 +81,12 @@
     public fun announcing(now: MonotonicTime, change: (EntryState) -> EntryState): MembershipState {
         val changed = change(self)
         if (changed == self) return this
-        return copy(self = changed.copy(beat = self.beat + 1), announcedAt = now)
+        return withBeat(changed, self.beat + 1, now)
+    }
+
+    /** Returns this state with [state] told to others under [beat]. */
+    internal fun withBeat(state: EntryState, beat: Long, now: MonotonicTime): MembershipState {
+        val next = state.copy(beat = beat)
+        return copy(self = next, told = next, announcedAt = now)
     }
 }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/membership/MembershipNetwork.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/membership/MembershipNetwork.kt
@@ -74,7 +74,7 @@
     fun knowledge(of: Int, about: Int): PeerRecord? = states[of].peers[states[about].self.entry.instance]
 
     private fun acquaint() {
-        states.replaceAll { it.copy(self = it.self.copy(revision = Revision(1)), announcedAt = now) }
+        states.replaceAll { it.withBeat(it.self.copy(revision = Revision(1)), 1, now) }
         val records = states.associate { it.self.entry.instance to PeerRecord(it.self, now) }.toPersistentMap()
         val digest = MembershipDigest.of(records.values.map { it.rumour })
         states.replaceAll { state ->
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -17,6 +17,7 @@
 import org.yuccajunction.control.ControlEvent
 import org.yuccajunction.control.ControlState
 import org.yuccajunction.control.InstanceController
+import org.yuccajunction.control.LeaseController
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.control.MembershipController
 import org.yuccajunction.control.RolloutController
@@ -135,6 +136,7 @@
                 membership,
                 InstanceController(),
                 ConfigurationController(),
+                LeaseController(),
                 ServerController(),
                 RolloutController(),
             )
