--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/PersistentCaller.kt
@@ -0,0 +1,85 @@
+package org.yuccajunction.integration
+
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.testing.ExpectedAnswer
+import java.io.IOException
+import java.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** A draft as its caller saw it over all attempts; [fault] says what was wrong, null where nothing was. */
+data class DraftRecord(val prompt: String, val accepted: Boolean, val whole: Boolean, val fault: String?)
+
+/** An order as its caller saw it over all attempts. */
+data class OrderRecord(val requestId: String, val target: String, val attempts: List<CallAttempt>) {
+    val last: CallAttempt get() = attempts.last()
+}
+
+/** A caller that goes on at other entries until it has its answer or has to give up. */
+class PersistentCaller(key: String, private val entries: () -> List<Endpoint>) {
+    private val caller = TestCaller(key, timeout = Duration.ofSeconds(6), silence = Duration.ofSeconds(4))
+
+    /** Asks for a stream and resumes it wherever it can for [patience]. */
+    fun draft(order: DraftOrder, first: Int, patience: kotlin.time.Duration = 45.seconds): DraftRecord {
+        val deadline = TimeSource.Monotonic.markNow() + patience
+        val expected = ExpectedAnswer.text(order.prompt, order.tokens)
+        var held = ""
+        var lastEventId: String? = null
+        var next: Endpoint? = null
+        var tries = 0
+        var detail = ""
+        while (deadline.hasNotPassedNow()) {
+            val entry = next ?: entries().let { it[(first + tries) % it.size] }
+            val attempt = caller.draft(entry, order, lastEventId = lastEventId, held = held)
+            held += attempt.events.content
+            lastEventId = attempt.events.lastEventId ?: lastEventId
+            if (!expected.startsWith(held)) return DraftRecord(order.prompt, true, false, "wrong text: $held")
+            if (attempt.isWhole) {
+                return DraftRecord(order.prompt, true, held == expected, if (held == expected) null else "short: $held")
+            }
+            if (held.isEmpty() && attempt.isNotRun) return DraftRecord(order.prompt, false, false, null)
+            next = attempt.events.movedTo?.let(Endpoint::parse)
+            detail = "${attempt.status} ${attempt.problem} ${attempt.breakage}"
+            tries += 1
+            Thread.sleep(RETRY_PAUSE_MILLIS)
+        }
+        val tokens = held.count { it == ' ' }
+        return DraftRecord(order.prompt, held.isNotEmpty(), false, "$tokens of ${order.tokens} tokens; last: $detail")
+    }
+
+    /** Sends one order until it has an answer that is not a refusal, at most [MOST_TRIES] times. */
+    fun order(service: String, target: String, suffix: String, first: Int): OrderRecord? {
+        val prefix = identityPrefix(first) ?: return null
+        val id = "$prefix~$suffix"
+        val attempts = mutableListOf<CallAttempt>()
+        for (attempt in 0 until MOST_TRIES) {
+            val entry = entries().let { it[(first + attempt) % it.size] }
+            val headers = mapOf("Yucca-Request-Id" to id)
+            val answer = caller.call(entry, service, "POST", target, body = target, headers = headers)
+            attempts += answer
+            val final = answer.status == 200 || answer.outcome == "unknown" || answer.outcome == "failed"
+            if (final) break
+            Thread.sleep(RETRY_PAUSE_MILLIS)
+        }
+        return OrderRecord(id, target, attempts)
+    }
+
+    private fun identityPrefix(first: Int): String? {
+        val entry = entries().let { it[first % it.size] }
+        return try {
+            val answer = Http.send(entry, "GET", "/v1/entries", timeout = Duration.ofSeconds(2))
+            val named = harnessJson.parseToJsonElement(answer.body()).jsonObject["entries"]?.jsonArray
+            named?.firstOrNull()?.jsonObject?.get("identityPrefix")?.jsonPrimitive?.content
+        } catch (_: IOException) {
+            null
+        }
+    }
+
+    private companion object {
+        const val RETRY_PAUSE_MILLIS = 200L
+        const val MOST_TRIES = 4
+    }
+}
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/TestCaller.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/TestCaller.kt
@@ -11,12 +11,12 @@
 import kotlinx.serialization.json.putJsonArray
 import org.yuccajunction.model.Endpoint
 import java.io.IOException
+import java.io.InputStream
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
-import java.util.stream.Stream
 
 /** A chat completion that a test asks for. */
 data class DraftOrder(val prompt: String, val tokens: Int, val model: String = "talker-llm")
@@ -43,8 +43,17 @@
 
 private fun JsonObject?.isNotRun(): Boolean = (this?.get("notRun") as? JsonPrimitive)?.booleanOrNull == true
 
-/** A caller that makes single attempts at entries that the test chooses, on connections of its own. */
-class TestCaller(private val key: String, private val timeout: Duration = Duration.ofSeconds(30)) {
+/**
+ * A caller that makes single attempts at entries that the test chooses, on connections of its own.
+ *
+ * @property timeout longest wait for the start of an answer
+ * @property silence longest wait for more of a stream, after which its connection is closed
+ */
+class TestCaller(
+    private val key: String,
+    private val timeout: Duration = Duration.ofSeconds(30),
+    private val silence: Duration = Duration.ofSeconds(10),
+) {
     private val client: HttpClient =
         HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(2)).build()
 
@@ -68,7 +77,7 @@
         val request = request(entry, "POST", "/v1/chat/completions", body(order, held), headers)
         val events = StreamEvents()
         return try {
-            val response = client.send(request, HttpResponse.BodyHandlers.ofLines())
+            val response = client.send(request, HttpResponse.BodyHandlers.ofInputStream())
             readDraft(response, events, onToken)
         } catch (exception: IOException) {
             DraftAttempt(0, events, null, exception.toString())
@@ -95,15 +104,16 @@
     }
 
     private fun readDraft(
-        response: HttpResponse<Stream<String>>,
+        response: HttpResponse<InputStream>,
         events: StreamEvents,
         onToken: (StreamEvents) -> Unit,
     ): DraftAttempt {
         if (response.statusCode() != 200) {
-            val text = response.body().toList().joinToString("\n")
+            val text = response.body().bufferedReader().readText()
             return DraftAttempt(response.statusCode(), events, problem(response, text), null)
         }
-        response.body().use { events.read(it, onToken) }
+        val watch = SilenceWatch(response.body(), silence)
+        watch.use { events.read(response.body().bufferedReader().lines()) { watch.heard().also { onToken(events) } } }
         return DraftAttempt(200, events, events.problem, events.breakage)
     }
 
