--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/RandomFaultsIT.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/RandomFaultsIT.kt
@@ -68,8 +68,13 @@
 
     private fun judge(running: RunningDeployment, schedule: String) {
         val runs = running.applications.flatMap { it.ran() }.groupingBy { it.requestId }.eachCount()
-        println("$schedule\n${drafts.size} drafts, ${drafts.count { it.whole }} whole, ${orders.size} orders")
+        val confirmed = orders.count { it.last.status == 200 }
+        val notRun = orders.count { it.last.isNotRun }
+        val others = orders.size - confirmed - notRun
+        println("$schedule\n${drafts.size} drafts, ${drafts.count { it.whole }} whole")
+        println("${orders.size} orders: $confirmed confirmed, $notRun refused as not run, $others otherwise")
         assertTrue(drafts.count { it.whole } > 0, "no draft at all: $schedule")
+        assertTrue(confirmed > 0, "no order at all: $schedule")
         assertEquals(emptyList(), drafts.filter { it.fault != null }, schedule)
         assertEquals(emptyMap(), runs.filterValues { it > 1 }, "run twice: $schedule")
         orders.forEach { order ->
--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/measure/Experiments.kt
@@ -0,0 +1,103 @@
+package org.yuccajunction.integration.measure
+
+import org.yuccajunction.document.VersionMove
+import org.yuccajunction.integration.ModelPlan
+import org.yuccajunction.integration.RunningDeployment
+import org.yuccajunction.integration.deployment
+import org.yuccajunction.load.LoadResult
+import org.yuccajunction.load.LoadSettings
+import org.yuccajunction.load.Outcome
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.ServiceVersion
+import org.yuccajunction.testing.engine.ModelEngineFaults
+import kotlin.concurrent.thread
+
+/** Loads during which something happens to the deployment. */
+class Experiments(
+    private val measurement: Measurement,
+    private val seeds: List<Long>,
+    private val nile: LoadSettings,
+) {
+    private val settings = nile.copy(requestsPerSecond = 20.0, seconds = 24, warmUpSeconds = 3)
+
+    /** A backend server dies without notice. */
+    fun serverKill() = run("server-kill") { running ->
+        Thread.sleep(8_000)
+        running.models.first().process.kill()
+    }
+
+    /** An availability zone is taken out and brought back. */
+    fun availabilityZone() = run("zone") { running ->
+        val zone = running.plan.zones.first()
+        Thread.sleep(8_000)
+        running.takeOut(zone, isOut = true)
+        Thread.sleep(8_000)
+        running.takeOut(zone, isOut = false)
+    }
+
+    /** An entry gets SIGTERM and another one takes its place. */
+    fun entryReplaced() = run("entry-replaced") { running ->
+        Thread.sleep(8_000)
+        val former = running.entries.last()
+        former.process.terminate()
+        running.addEntry()
+    }
+
+    /** The model moves to another version. */
+    fun move(isGood: Boolean) = run(if (isGood) "move-good" else "move-bad") { running ->
+        val plan = ModelPlan("talker-llm").apply {
+            version = "v2"
+            settings = running.plan.models.first().settings
+        }
+        repeat(3) { running.addModel(plan) }
+        if (!isGood) {
+            running.models.filter { it.instance.version?.value == "v2" }
+                .forEach { it.faults(ModelEngineFaults(failShare = 0.5)) }
+        }
+        Thread.sleep(4_000)
+        val move = VersionMove(
+            name = "talker-v2",
+            service = ServiceName("talker-llm"),
+            from = ServiceVersion("v1"),
+            to = ServiceVersion("v2"),
+            completeWithinSeconds = 60,
+        )
+        running.change { it.copy(versions = listOf(move)) }
+    }
+
+    private fun run(name: String, event: (RunningDeployment) -> Unit) {
+        seeds.forEach { seed ->
+            val plan =
+                MeasurementPlan(settings, 3, models = 4, applications = 2, listOf("cairo-a", "cairo-b", "cairo-c"))
+            deployment { plan.describe(this) }.use { running ->
+                val happening = thread { event(running) }
+                val result = measurement.load(running, settings.copy(name = name), seed, direct = false)
+                happening.join()
+                report(running, result)
+            }
+        }
+    }
+
+    private fun report(running: RunningDeployment, result: LoadResult) {
+        val recomputed = running.entries.filter { it.process.isAlive }
+            .sumOf { it.metric("yuccajunction_tokens_recomputed_total") }
+        val endings = Outcome.entries.associateWith { result.count(it) }
+        println("${result.name}: within target ${result.withinTargetShare()}, recomputed $recomputed, $endings")
+        running.models.forEach { model ->
+            println("  ${model.id} in ${model.availabilityZone}: ${receivedIfAlive(model.process.isAlive, model)}")
+        }
+        println("  moves: ${running.entries.first().stateOrNull()?.moves}")
+    }
+
+    private fun receivedIfAlive(isAlive: Boolean, model: org.yuccajunction.integration.ModelEngineHandle): String =
+        if (isAlive) "${model.ledger().rows.size} requests" else "dead"
+
+    private fun RunningDeployment.takeOut(zone: String, isOut: Boolean) {
+        change { deployment ->
+            val zones = deployment.availabilityZones.map {
+                if (it.name.value == zone) it.copy(takenOut = isOut) else it
+            }
+            deployment.copy(availabilityZones = zones)
+        }
+    }
+}
--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/measure/Measurement.kt
@@ -0,0 +1,138 @@
+package org.yuccajunction.integration.measure
+
+import kotlinx.coroutines.runBlocking
+import org.yuccajunction.integration.RunningDeployment
+import org.yuccajunction.integration.deployment
+import org.yuccajunction.load.HttpTarget
+import org.yuccajunction.load.LoadResult
+import org.yuccajunction.load.LoadRunner
+import org.yuccajunction.load.LoadSettings
+import org.yuccajunction.load.TextReport
+import java.util.Locale
+
+/** The measurements, each over a deployment of its own. */
+class Measurement(private val seeds: List<Long>, private val nile: LoadSettings) {
+    private val zones = listOf("cairo-a", "cairo-b", "cairo-c", "cairo-d")
+    val results = mutableListOf<LoadResult>()
+
+    /** Latency through one entry against a direct call of the same engine, in turn. */
+    fun addedLatency() {
+        val streams = nile.copy(
+            name = "added-latency",
+            requestsPerSecond = 10.0,
+            seconds = 10,
+            warmUpSeconds = 4,
+            requests = nile.requests.filter { it.isStream },
+        )
+        val plan = MeasurementPlan(streams, entries = 1, models = 1, applications = 0, zones, requestLimit = 64)
+        deployment { plan.describe(this) }.use { running ->
+            val pairs = seeds.map { seed ->
+                val direct = load(running, streams.copy(name = "direct"), seed, direct = true)
+                direct to load(running, streams.copy(name = "one entry"), seed, direct = false)
+            }
+            row("added to the first token, p50", pairs.map { millis(it) { r -> r.sum { s -> s.firstToken } } })
+            row("added between tokens, p50", pairs.map { millis(it) { r -> r.sum { s -> s.betweenTokens } } })
+            row("added to the first token, p95", pairs.map { millis(it, 95.0) { r -> r.sum { s -> s.firstToken } } })
+            idle(running)
+        }
+    }
+
+    /** Requests and tokens that pass one entry in a second, and the processor time that they take. */
+    fun throughput(requestsPerSecond: Double) {
+        val calls = nile.copy(
+            name = "throughput",
+            requestsPerSecond = requestsPerSecond,
+            seconds = 10,
+            warmUpSeconds = 5,
+        )
+        val engine = org.yuccajunction.testing.engine.ModelEngineSettings(
+            firstTokenMillis = 5.0,
+            tokenMillis = 2.0,
+            slowDownPerRequest = 0.0,
+        )
+        val plan = MeasurementPlan(calls, entries = 1, models = 4, applications = 1, zones, 256, engine)
+        deployment { plan.describe(this) }.use { running ->
+            seeds.take(1).forEach { seed ->
+                val pid = running.entries.first().process.pid
+                val before = ProcessUsage.of(pid)
+                val result = load(running, calls.copy(name = "throughput $requestsPerSecond/s"), seed, direct = false)
+                val seconds = calls.seconds + calls.warmUpSeconds
+                val cores = (ProcessUsage.of(pid).processorSeconds - before.processorSeconds) / seconds
+                println("requests/s ${format(result.total / 10.0)}, tokens/s ${format(result.tokensPerSecond)}")
+                println("entry cores used ${format(cores)}; within target ${format(result.withinTargetShare())}")
+            }
+        }
+    }
+
+    /** One deployment at its size, at rest and under load, with the bytes that its entries exchange. */
+    fun wholeDeployment(settings: LoadSettings, entries: Int, models: Int, applications: Int) {
+        val plan = MeasurementPlan(settings, entries, models, applications, zones)
+        deployment { plan.describe(this) }.use { running ->
+            idle(running)
+            seeds.forEach { load(running, settings, it, direct = false) }
+            val recomputed = running.entries.sumOf { it.metric("yuccajunction_tokens_recomputed_total") }
+            println("${settings.name}: tokens recomputed $recomputed")
+        }
+    }
+
+    private fun idle(running: RunningDeployment) {
+        val seconds = 10
+        val before = running.entries.map { it to sample(it.process.pid, it.metric(SENT), it.metric(RECEIVED)) }
+        val storeBefore = running.platform.calls().values.sum()
+        Thread.sleep(seconds * 1_000L)
+        val rows = before.map { (entry, old) ->
+            val now = sample(entry.process.pid, entry.metric(SENT), entry.metric(RECEIVED))
+            listOf(
+                (now.usage.processorSeconds - old.usage.processorSeconds) / seconds,
+                now.usage.residentMebibytes,
+                (now.sent - old.sent) / seconds,
+                (now.received - old.received) / seconds,
+            )
+        }
+        val store = (running.platform.calls().values.sum() - storeBefore).toDouble() / seconds
+        row("idle: processor seconds a second of one entry", rows.map { it[0] })
+        row("idle: resident MiB of one entry", rows.map { it[1] })
+        row("idle: bytes a second sent to entries by one entry", rows.map { it[2] })
+        row("idle: bytes a second received from entries by one entry", rows.map { it[3] })
+        println("idle: platform calls a second, all ${rows.size} entries: ${format(store)}")
+    }
+
+    private data class Sample(val usage: ProcessUsage, val sent: Double, val received: Double)
+
+    private fun sample(pid: Long, sent: Double, received: Double) = Sample(ProcessUsage.of(pid), sent, received)
+
+    /** Sends one load to the entries, or to the engines themselves. */
+    fun load(running: RunningDeployment, settings: LoadSettings, seed: Long, direct: Boolean): LoadResult {
+        val endpoints = if (direct) running.models.map { it.direct } else running.entries.map { it.caller }
+        val result = HttpTarget(endpoints, direct).use { target ->
+            runBlocking { LoadRunner(target).run(settings.name, settings, seed) }
+        }
+        results += result
+        println(TextReport.text(result))
+        return result
+    }
+
+    private fun millis(
+        pair: Pair<LoadResult, LoadResult>,
+        percentile: Double = 50.0,
+        histogram: (LoadResult) -> org.HdrHistogram.Histogram,
+    ): Double {
+        val (direct, entry) = pair
+        val difference =
+            histogram(entry).getValueAtPercentile(percentile) - histogram(direct).getValueAtPercentile(percentile)
+        return difference / 1_000.0
+    }
+
+    private fun row(name: String, values: List<Double>) {
+        val sorted = values.sorted()
+        val spread = "${format(sorted.first())} to ${format(sorted.last())}"
+        println("$name: median ${format(sorted[sorted.size / 2])}, $spread, ${values.size} values")
+    }
+
+    private fun format(value: Double): String = String.format(Locale.ROOT, "%.3f", value)
+
+    private companion object {
+        const val SENT = "yuccajunction_peer_sent_bytes_total"
+        const val RECEIVED = "yuccajunction_peer_received_bytes_total"
+    }
+}
