--- /dev/null
+++ b/yuccajunction-test-support/src/test/kotlin/org/yuccajunction/testing/ServerLoadTest.kt
@@ -0,0 +1,54 @@
+package org.yuccajunction.testing
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class ServerLoadTest {
+    private var millis = 0L
+
+    private fun load(coldMillis: Long) =
+        ServerLoad(coldMillis, coldRequestLimit = 2, reportLagMillis = 200) { millis * 1_000_000 }
+
+    @Test
+    fun `a cold server falls over above its limit and stands again later`() {
+        val load = load(coldMillis = 10_000)
+        assertTrue(load.enter())
+        assertTrue(load.enter())
+        assertFalse(load.enter())
+        assertEquals(LoadCounts(open = 3, highestOpen = 3, highestOpenCold = 3, fellOver = 1), load.counts())
+        repeat(3) { load.leave() }
+        assertFalse(load.enter())
+        load.leave()
+        millis += 2_000
+        assertTrue(load.enter())
+    }
+
+    @Test
+    fun `a warm server bears more`() {
+        val load = load(coldMillis = 0)
+        repeat(10) { assertTrue(load.enter()) }
+        assertEquals(LoadCounts(open = 10, highestOpen = 10, highestOpenCold = 0, fellOver = 0), load.counts())
+    }
+
+    @Test
+    fun `the report lags`() {
+        val load = load(coldMillis = 0)
+        assertEquals(0, load.report().running)
+        millis += 100
+        load.enter()
+        millis += 150
+        assertEquals(0, load.report().running)
+        millis += 50
+        assertEquals(1, load.report().running)
+    }
+
+    @Test
+    fun `a server turns cold without saying so`() {
+        val load = load(coldMillis = 0)
+        load.turnCold(millis = 1_000, reported = false, newIncarnation = false)
+        assertTrue(load.cold)
+        assertFalse(load.report().cold)
+    }
+}
--- /dev/null
+++ b/yuccajunction-test-support/src/test/kotlin/org/yuccajunction/testing/platform/ObjectTableTest.kt
@@ -0,0 +1,59 @@
+package org.yuccajunction.testing.platform
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ObjectTableTest {
+    private val table = ObjectTable()
+
+    @Test
+    fun `a change takes effect only on the expected version`() {
+        assertEquals(1, table.change("a", null, "one"))
+        assertNull(table.change("a", null, "two"))
+        assertNull(table.change("a", 7, "two"))
+        assertEquals(2, table.change("a", 1, "two"))
+        assertEquals("two", table.read("a")?.value)
+        assertEquals(3, table.change("a", 2, null))
+        assertNull(table.read("a"))
+    }
+
+    @Test
+    fun `a watch brings the newest change of each object below the prefix`() {
+        table.change("a/1", null, "one")
+        table.change("a/1", 1, "two")
+        table.change("b/1", null, "three")
+        assertEquals(ObjectRows(3, listOf(ObjectRow("a/1", 2, "two"))), table.changesAfter("a/", 0))
+    }
+
+    @Test
+    fun `a watch waits for a change`() = runBlocking {
+        val watch = async { table.watch("a", 0, 5.seconds) }
+        table.change("a", null, "one")
+        assertEquals(listOf(ObjectRow("a", 1, "one")), watch.await()?.objects)
+        assertEquals(emptyList(), table.watch("a", 1, 10.milliseconds)?.objects)
+    }
+
+    @Test
+    fun `a watch from before the compaction is refused`() {
+        table.change("a", null, "one")
+        table.compact()
+        assertNull(table.changesAfter("a", 0))
+        assertEquals(ObjectRows(1, emptyList()), table.changesAfter("a", 1))
+    }
+
+    @Test
+    fun `a restored store has the versions of the older state`() {
+        table.change("a", null, "one")
+        val state = table.list("")
+        table.change("a", 1, "two")
+        table.restore(state)
+        assertEquals(ObjectRow("a", 1, "one"), table.read("a"))
+        assertEquals(2, table.change("b", null, "three"))
+        assertEquals(listOf("b"), table.changesAfter("", 1)?.objects?.map { it.key })
+    }
+}
