--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/measure/Experiments.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/measure/Experiments.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.integration.measure
 
 import org.yuccajunction.document.VersionMove
+import org.yuccajunction.integration.ModelEngineHandle
 import org.yuccajunction.integration.ModelPlan
 import org.yuccajunction.integration.RunningDeployment
 import org.yuccajunction.integration.deployment
@@ -71,7 +72,7 @@
                 MeasurementPlan(settings, 3, models = 4, applications = 2, listOf("cairo-a", "cairo-b", "cairo-c"))
             deployment { plan.describe(this) }.use { running ->
                 val happening = thread { event(running) }
-                val result = measurement.load(running, settings.copy(name = name), seed, direct = false)
+                val result = measurement.loadByCallers(running, settings.copy(name = name), seed)
                 happening.join()
                 report(running, result)
             }
@@ -89,7 +90,7 @@
         println("  moves: ${running.entries.first().stateOrNull()?.moves}")
     }
 
-    private fun receivedIfAlive(isAlive: Boolean, model: org.yuccajunction.integration.ModelEngineHandle): String =
+    private fun receivedIfAlive(isAlive: Boolean, model: ModelEngineHandle): String =
         if (isAlive) "${model.ledger().rows.size} requests" else "dead"
 
     private fun RunningDeployment.takeOut(zone: String, isOut: Boolean) {
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/measure/Measurement.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/measure/Measurement.kt
@@ -1,13 +1,16 @@
 package org.yuccajunction.integration.measure
 
 import kotlinx.coroutines.runBlocking
+import org.HdrHistogram.Histogram
 import org.yuccajunction.integration.RunningDeployment
 import org.yuccajunction.integration.deployment
+import org.yuccajunction.load.CallerTarget
 import org.yuccajunction.load.HttpTarget
 import org.yuccajunction.load.LoadResult
 import org.yuccajunction.load.LoadRunner
 import org.yuccajunction.load.LoadSettings
 import org.yuccajunction.load.TextReport
+import org.yuccajunction.testing.engine.ModelEngineSettings
 import java.util.Locale
 
 /** The measurements, each over a deployment of its own. */
@@ -45,7 +48,7 @@
             seconds = 10,
             warmUpSeconds = 5,
         )
-        val engine = org.yuccajunction.testing.engine.ModelEngineSettings(
+        val engine = ModelEngineSettings(
             firstTokenMillis = 5.0,
             tokenMillis = 2.0,
             slowDownPerRequest = 0.0,
@@ -58,7 +61,11 @@
                 val result = load(running, calls.copy(name = "throughput $requestsPerSecond/s"), seed, direct = false)
                 val seconds = calls.seconds + calls.warmUpSeconds
                 val cores = (ProcessUsage.of(pid).processorSeconds - before.processorSeconds) / seconds
-                println("requests/s ${format(result.total / 10.0)}, tokens/s ${format(result.tokensPerSecond)}")
+                println(
+                    "requests/s ${format(
+                        result.total.toDouble() / result.seconds,
+                    )}, tokens/s ${format(result.tokensPerSecond)}",
+                )
                 println("entry cores used ${format(cores)}; within target ${format(result.withinTargetShare())}")
             }
         }
@@ -112,10 +119,20 @@
         return result
     }
 
+    /** Sends one load through the caller library, which resumes streams and follows the address answers. */
+    fun loadByCallers(running: RunningDeployment, settings: LoadSettings, seed: Long): LoadResult {
+        val result = CallerTarget(settings.workspaces, running.entries.map { it.caller }).use { target ->
+            runBlocking { LoadRunner(target).run(settings.name, settings, seed) }
+        }
+        results += result
+        println(TextReport.text(result))
+        return result
+    }
+
     private fun millis(
         pair: Pair<LoadResult, LoadResult>,
         percentile: Double = 50.0,
-        histogram: (LoadResult) -> org.HdrHistogram.Histogram,
+        histogram: (LoadResult) -> Histogram,
     ): Double {
         val (direct, entry) = pair
         val difference =
--- a/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/HttpTarget.kt
+++ b/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/HttpTarget.kt
@@ -14,10 +14,6 @@
 import io.ktor.http.HttpMethod
 import io.ktor.utils.io.readUTF8Line
 import kotlinx.coroutines.CancellationException
-import kotlinx.serialization.json.addJsonObject
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
-import kotlinx.serialization.json.putJsonArray
 import org.yuccajunction.model.Endpoint
 import java.io.IOException
 
@@ -76,25 +72,12 @@
             header(HttpHeaders.Authorization, "Bearer ${request.workspace.key}")
         }
         if (shape.isStream) {
-            setBody(completionBody(request))
+            setBody(completionBody(request).toString())
         } else if (shape.method != "GET") {
             setBody(request.prompt)
         }
     }
 
-    private fun completionBody(request: ScheduledRequest): String =
-        buildJsonObject {
-            put("model", request.shape.service)
-            put("stream", true)
-            put("max_tokens", request.shape.tokens)
-            putJsonArray("messages") {
-                addJsonObject {
-                    put("role", "user")
-                    put("content", request.prompt)
-                }
-            }
-        }.toString()
-
     private suspend fun readStream(response: HttpResponse, tokens: Int, onToken: () -> Unit): Outcome {
         val channel = response.bodyAsChannel()
         var received = 0
