--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/traffic/TrafficFixture.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/traffic/TrafficFixture.kt
@@ -19,7 +19,6 @@
 import org.yuccajunction.routing.ServerRoute
 import org.yuccajunction.routing.ServerState
 import org.yuccajunction.routing.ServiceRoute
-import org.yuccajunction.routing.TwoChoiceServerChooser
 import kotlin.random.Random
 
 /** One service with a few servers, and requests for it. */
@@ -32,7 +31,7 @@
     val environment =
         TrafficEnvironment(
             { table },
-            TwoChoiceServerChooser(),
+            LeastOpenServerChooser(),
             openRequests,
             RetryBudget(MonotonicTime.ZERO),
             Random(seed),
