--- a/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/application/ApplicationAnswer.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/application/ApplicationAnswer.kt
@@ -19,7 +19,3 @@
         }
     }
 }
-
-/** The answer of the status path: how often a request was run. */
-@Serializable
-public data class RunStatus(public val requestId: String, public val ran: Int)
--- a/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/engine/EngineState.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/engine/EngineState.kt
@@ -1,25 +1,11 @@
 package org.yuccajunction.testing.engine
 
-import kotlinx.serialization.Serializable
 import org.yuccajunction.port.ServerOrder
 import org.yuccajunction.testing.ServerLoad
 import java.util.Collections
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
-/** One order as it came, and whether it was taken. */
-@Serializable
-public data class OrderRow(
-    public val order: ServerOrder,
-    public val fencingNumber: Long,
-    public val taken: Boolean,
-    public val receivedAtMillis: Long,
-)
-
-/** The orders that a server was given, in order. */
-@Serializable
-public data class OrderLedger(public val orders: List<OrderRow>)
-
 /** Everything that the model engine stand-in keeps. */
 internal class EngineState(val settings: ModelEngineSettings) {
     val load = ServerLoad(settings.coldMillis, settings.coldRequestLimit, settings.reportLagMillis)
--- a/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/platform/PlatformState.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/platform/PlatformState.kt
@@ -1,12 +1,7 @@
 package org.yuccajunction.testing.platform
 
-import kotlinx.serialization.Serializable
 import java.util.TreeMap
 
-/** Counts of calls by kind since the start. */
-@Serializable
-public data class CallCounts(public val calls: Map<String, Long>)
-
 /** Everything that the platform keeps. */
 internal class PlatformState(nanoTime: () -> Long = System::nanoTime) {
     val objects = ObjectTable()
--- a/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/proxy/FaultProxyMain.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/proxy/FaultProxyMain.kt
@@ -8,7 +8,6 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import io.ktor.server.routing.routing
-import kotlinx.serialization.Serializable
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.testing.StandInArguments
 import org.yuccajunction.testing.StandInProcess
@@ -16,14 +15,6 @@
 import org.yuccajunction.testing.respondJson
 import java.util.concurrent.ConcurrentHashMap
 
-/** The port of a route and the connections through it. */
-@Serializable
-public data class RouteReport(public val port: Int, public val accepted: Int, public val open: Int)
-
-/** A route to be opened; without a target its connections are refused until one is set. */
-@Serializable
-public data class RouteOrder(public val port: Int = 0, public val target: Endpoint? = null)
-
 /** A TCP proxy with many routes whose faults are set over HTTP. */
 public object FaultProxyMain {
     private val routes = ConcurrentHashMap<Int, ProxyRoute>()
