--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/HeartbeatExchange.kt
@@ -1,8 +1,6 @@
 package org.yuccajunction.membership
 
 import org.yuccajunction.model.MonotonicTime
-import org.yuccajunction.model.Revision
-import org.yuccajunction.rollout.VersionVeto
 import kotlin.random.Random
 
 /** Makes heartbeats and learns from them. */
@@ -45,6 +43,7 @@
             rumours = rumours,
             digest = digest,
             vetoDigest = content.vetoDigest,
+            highestFencingNumber = content.highestFencingNumber.value,
         )
     }
 
@@ -69,9 +68,13 @@
         val learned = told.fold(state) { learned, rumour -> learned.learning(rumour, now) }
         val sender = learned.peers[heartbeat.sender.entry.instance] ?: return learned
         val touched =
-            sender.copy(contactAt = now, digest = heartbeat.digest, vetoDigest = heartbeat.vetoDigest)
-        val isCurrent = sender.state.entry == heartbeat.sender.entry
-        if (!isCurrent) return learned
+            sender.copy(
+                state = if (sender.state.beat == heartbeat.sender.beat) heartbeat.sender else sender.state,
+                contactAt = now,
+                digest = heartbeat.digest,
+                vetoDigest = heartbeat.vetoDigest,
+            )
+        if (sender.state.entry != heartbeat.sender.entry) return learned
         return learned.withPeer(touched).copy(contactAt = now)
     }
 
@@ -79,9 +82,11 @@
         val instance = rumour.state.entry.instance
         if (instance == self.entry.instance) return refuting(rumour, now)
         if (removed[instance]?.covers(rumour) == true) return this
-        val known = peers[instance]
-        if (known == null) return withPeer(PeerRecord(rumour.state, now, rumour.suspected))
-        if (!rumour.isNewerThan(known.rumour)) return this
+        val known = peers[instance] ?: return withPeer(PeerRecord(rumour.state, now, rumour.suspected))
+        return if (rumour.isNewerThan(known.rumour)) updating(known, rumour, now) else this
+    }
+
+    private fun MembershipState.updating(known: PeerRecord, rumour: Rumour, now: MonotonicTime): MembershipState {
         val sameRun = known.state.entry == rumour.state.entry
         val updated =
             PeerRecord(
@@ -100,20 +105,6 @@
         val accused = rumour.state
         val applies = accused.entry == self.entry && (rumour.suspected || accused.beat > self.beat)
         if (!applies || accused.beat < self.beat) return this
-        return copy(self = self.copy(beat = accused.beat + 1), announcedAt = now)
+        return withBeat(self, accused.beat + 1, now)
     }
 }
-
-/**
- * What a heartbeat carries besides membership.
- *
- * @property revision the newest configuration that this entry has
- * @property vetoes every veto that this entry holds
- */
-internal class HeartbeatContent(val revision: Revision, val vetoes: Collection<VersionVeto>) {
-    /** Hash of [vetoes] that does not depend on their order; 0 for none. */
-    val vetoDigest: Int = vetoes.fold(0) { hash, veto -> hash xor hash(veto) }
-
-    private fun hash(veto: VersionVeto): Int =
-        listOf(veto.move, veto.service.value, veto.version.value, veto.route.orEmpty()).hashCode()
-}
