Give TLS contexts from PEM files that may change while the entry runs

Change: adapters.tls reads certificate, key and trusted certificates at each handshake when the files have changed; peers show certificates to each other. Files that can't be used leave the last usable ones in use. Not wired into the settings of the entry yet. Check: TlsContextsTest, with certificates made by keytool in the test.

--- /dev/null
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/tls/TlsIdentity.kt
@@ -0,0 +1,39 @@
+package org.yuccajunction.adapters.tls
+
+import arrow.core.getOrElse
+import org.yuccajunction.model.Finding
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * The certificate, key and trusted certificates that files hold now.
+ *
+ * Each handshake asks for them. Files that changed are read again; while what they hold can't be used, the last usable
+ * material stays in use.
+ */
+public class TlsIdentity(private val files: TlsFiles) {
+    private val loaded = AtomicReference<Loaded?>(null)
+
+    /** Returns what is wrong with the files now; nothing where they can be used. */
+    public fun findings(): List<Finding> =
+        TlsMaterial.read(files).fold({ listOf(it) }, { emptyList() })
+
+    /** Returns the material in use, null where none was usable yet. */
+    internal fun current(): TlsMaterial? {
+        val stamp = stampOf(files)
+        val before = loaded.get()
+        if (before != null && before.stamp == stamp) return before.material
+        val material = TlsMaterial.read(files).getOrElse { before?.material }
+        loaded.set(Loaded(stamp, material))
+        return material
+    }
+
+    private fun stampOf(files: TlsFiles): List<String> =
+        listOf(files.certificate, files.key, files.trust).map(::stampOf)
+
+    private fun stampOf(path: Path): String =
+        runCatching { "${Files.getLastModifiedTime(path)} ${Files.size(path)}" }.getOrDefault("absent")
+
+    private class Loaded(val stamp: List<String>, val material: TlsMaterial?)
+}
--- /dev/null
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/tls/TlsMaterial.kt
@@ -0,0 +1,36 @@
+package org.yuccajunction.adapters.tls
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import org.yuccajunction.model.Finding
+import java.security.PrivateKey
+import java.security.cert.X509Certificate
+import javax.net.ssl.X509ExtendedTrustManager
+
+/** What one reading of [TlsFiles] gave. */
+internal class TlsMaterial(
+    val chain: List<X509Certificate>,
+    val key: PrivateKey,
+    val trust: X509ExtendedTrustManager,
+) {
+    companion object {
+        /** Reads [files]; the key must belong to the first certificate. */
+        fun read(files: TlsFiles): Either<Finding, TlsMaterial> =
+            either {
+                val chain = PemReader.certificates(files.certificate).bind()
+                val key = PemReader.privateKey(files.key).bind()
+                val trust = PemReader.certificates(files.trust).bind()
+                belongs(files, chain.first(), key).bind()
+                TlsMaterial(chain, key, PemTrust.of(trust))
+            }
+
+        private fun belongs(files: TlsFiles, certificate: X509Certificate, key: PrivateKey): Either<Finding, Unit> =
+            if (KeyPairs.match(certificate.publicKey, key)) {
+                Unit.right()
+            } else {
+                Finding(files.key.toString(), "", null, "is not the key of ${files.certificate}").left()
+            }
+    }
+}
