Spread what entries see of a move, and judge servers that were ready before

Change: counts are announced at most once a second; a server counts as warm when it has been ready and does not report itself cold; latencies are compared under the load that the server reports or this entry has open there. Test: the model delivers heartbeats and their answers. The bounds are unchanged.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RolloutController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RolloutController.kt
@@ -73,12 +73,12 @@
             state.withRollout { copy(startedAt = this.startedAt.put(move.name, startedAt)) }
         }
 
-    /** Tells the other entries what this one has seen. */
+    /** Tells the other entries what this one has seen, no more often than [ANNOUNCEMENT_INTERVAL]. */
     private fun withEvidence(board: Blackboard): Blackboard {
+        val announcedAt = board.membership.announcedAt
+        if (announcedAt != null && board.now - announcedAt < ANNOUNCEMENT_INTERVAL) return board
         val evidence = board.deployment.versions.map { ownEvidence(board, it) }
-        val self = board.membership.self
-        if (self.moves == evidence) return board
-        return board.copy(membership = board.membership.copy(self = self.copy(moves = evidence)))
+        return board.copy(membership = board.membership.announcing(board.now) { it.copy(moves = evidence) })
     }
 
     private fun ownEvidence(board: Blackboard, move: VersionMove): MoveEvidence {
@@ -139,13 +139,15 @@
 
     private fun context(board: Blackboard, observation: AttemptObservation): TrialContext {
         val record = board.servers[observation.server]
-        val warm = record?.state == ServerState.READY && record.report?.cold != true
+        val wasReady = record != null && (record.state == ServerState.READY || record.evidence.relapses > 0)
+        val warm = wasReady && record?.report?.cold != true
         val model = board.deployment.models.find { it.name == observation.service }
         val application = board.deployment.applications.find { it.name == observation.service }
         return TrialContext(
             now = board.now,
             serverReady = warm,
             serverLeaving = record == null || record.state == ServerState.LEAVING,
+            load = maxOf(observation.openAtDispatch, record?.report?.let { it.running + it.waiting } ?: 0),
             targetMillis = model?.firstTokenTargetMillis ?: application?.latencyTargetMillis ?: Long.MAX_VALUE,
         )
     }
@@ -228,5 +230,6 @@
         public const val LEASE: String = "rollout"
         private const val REFRESH_SECONDS = 10L
         private const val MOST_ROUTES = 64
+        private val ANNOUNCEMENT_INTERVAL = 1.seconds
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
@@ -80,16 +80,11 @@
         return ServerStates.announced(settled, settled.signs, board.now)
     }
 
+    /** An isolated entry may have missed that another one has taken over its cold starts. */
     private fun usable(board: Blackboard, record: ServerRecord): ServerShare.Permits {
         val usable = record.share.usable(board.now)
-        return if (isCutOff(board)) usable.copy(cold = 0) else usable
-    }
-
-    /** Whether this entry may have missed that another one has taken over its cold starts. */
-    private fun isCutOff(board: Blackboard): Boolean {
-        val membership = board.membership
-        val heardAt = (membership.peers.values.map { it.heardAt } + listOfNotNull(membership.listedAt)).maxOrNull()
-        return heardAt == null || board.now - heardAt > ServerShare.ISOLATION_TIMEOUT
+        val isolated = board.membership.isIsolated(board.now, ServerShare.ISOLATION_TIMEOUT)
+        return if (isolated) usable.copy(cold = 0) else usable
     }
 
     private fun pollInterval(random: Random): Duration =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/LatencyMeans.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/LatencyMeans.kt
@@ -8,21 +8,21 @@
     /** A moving mean of [count] values. */
     public data class Mean(public val count: Int, public val value: Double)
 
-    /** Returns the means with [value] added, measured with [open] requests at the server. */
-    public fun add(open: Int, value: Double): LatencyMeans {
-        val level = level(open)
+    /** Returns the means with [value] added, measured with [load] requests at the server. */
+    public fun add(load: Int, value: Double): LatencyMeans {
+        val level = level(load)
         val old = means[level] ?: return LatencyMeans(means.put(level, Mean(1, value)))
         val gain = maxOf(1.0 / (old.count + 1), LEAST_GAIN)
         return LatencyMeans(means.put(level, Mean(old.count + 1, old.value + (value - old.value) * gain)))
     }
 
-    /** Returns the mean with at least [open] requests at the server; null where too little was measured. */
-    public fun expected(open: Int): Double? =
-        (level(open)..LARGEST_LEVEL).firstNotNullOfOrNull { level ->
+    /** Returns the mean with at least [load] requests at the server; null where too little was measured. */
+    public fun expected(load: Int): Double? =
+        (level(load)..LARGEST_LEVEL).firstNotNullOfOrNull { level ->
             means[level]?.takeIf { it.count >= LEAST_VALUES }?.value
         }
 
-    private fun level(open: Int): Int = (Int.SIZE_BITS - Integer.numberOfLeadingZeros(open)).coerceAtMost(LARGEST_LEVEL)
+    private fun level(load: Int): Int = (Int.SIZE_BITS - Integer.numberOfLeadingZeros(load)).coerceAtMost(LARGEST_LEVEL)
 
     private companion object {
         const val LEAST_GAIN = 0.05
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/RolloutState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/RolloutState.kt
@@ -37,8 +37,11 @@
 
     private fun MoveStatus.isNewerThan(known: MoveStatus): Boolean =
         when {
-            known.isFinal -> false
+            known.isFinal -> isSameAs(known) && known.detail.isEmpty()
             isFinal -> true
+            isSameAs(known) -> known.detail.isEmpty()
             else -> compareValuesBy(this, known, { it.fencingNumber }, { it.elapsedSeconds }, { it.share }) > 0
         }
+
+    private fun MoveStatus.isSameAs(known: MoveStatus): Boolean = copy(detail = known.detail) == known
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/RouteTrial.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/RouteTrial.kt
@@ -11,7 +11,7 @@
 /**
  * The comparison of the new version with the old one beside it, on one route at one entry.
  *
- * Latencies are compared under the same number of open requests only, so that load is not taken for a fault.
+ * Latencies are compared under the same load of a server only, so that load is not taken for a fault.
  *
  * @property lostAt when each server last lost an answer; a crash that takes several answers counts once
  */
@@ -56,7 +56,7 @@
 
     private fun learnOld(attempt: AttemptObservation, failed: Boolean, context: TrialContext): RouteTrial {
         val slow = if (failed || !context.serverReady) null else isSlow(attempt, context)
-        val open = attempt.openAtDispatch
+        val open = context.load
         val learns = !failed && context.serverReady
         return copy(
             oldFailures = oldFailures.count(failed),
@@ -82,8 +82,8 @@
      * it misses the target as well.
      */
     private fun isSlow(attempt: AttemptObservation, context: TrialContext): Boolean? {
-        val first = oldFirstToken.expected(attempt.openAtDispatch)
-        val between = oldPerToken.expected(attempt.openAtDispatch)
+        val first = oldFirstToken.expected(context.load)
+        val between = oldPerToken.expected(context.load)
         val firstMillis = attempt.firstTokenMillis
         if (first == null || firstMillis == null) return null
         val lateFirst = firstMillis > first * SLOW_FACTOR + FIRST_TOKEN_SLACK_MILLIS
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/ServiceModel.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/ServiceModel.kt
@@ -244,6 +244,8 @@
         if (command is ControlCommand.SendHeartbeat) {
             val target = entries.single { it.control.board.membership.self.peerEndpoint == command.to }
             target.control.handle(ControlEvent.HeartbeatReceived(command.heartbeat), at)
+            val answer = MembershipController().answer(target.control.board, command.heartbeat, random)
+            entry.control.handle(ControlEvent.HeartbeatReceived(answer), at)
         }
         store.perform(command)?.let { event -> entry.control.handle(event, at).forEach { perform(entry, it, at) } }
     }
--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/BackgroundLoad.kt
@@ -0,0 +1,38 @@
+package org.yuccajunction.integration
+
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** Drafts from many callers at once, each at the next of the entries, until closed. */
+class BackgroundLoad(private val running: RunningDeployment, callers: Int, private val tokens: Int = 30) :
+    AutoCloseable {
+    private val ended = AtomicBoolean()
+    private val number = AtomicInteger()
+    val attempts = ConcurrentLinkedQueue<DraftAttempt>()
+    private val threads = List(callers) { thread(name = "caller-$it") { ask() } }
+
+    private fun ask() {
+        val caller = TestCaller(running.key)
+        while (!ended.get()) {
+            val turn = number.getAndIncrement()
+            val live = running.entries.filter { it.process.isAlive }
+            val attempt = caller.draft(live[turn % live.size].caller, DraftOrder("Draft talker $turn", tokens))
+            attempts += attempt
+            if (attempt.status != 200) Thread.sleep(REFUSED_PAUSE_MILLIS)
+        }
+    }
+
+    /** Keeps the load on for [millis]. */
+    fun goOn(millis: Long) = Thread.sleep(millis)
+
+    override fun close() {
+        ended.set(true)
+        threads.forEach { it.join() }
+    }
+
+    private companion object {
+        const val REFUSED_PAUSE_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/ColdStartIT.kt
@@ -0,0 +1,68 @@
+package org.yuccajunction.integration
+
+import org.yuccajunction.testing.engine.ModelEngineSettings
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Bounds: a new server never has more open requests than it bears while cold; one that turns cold again has not, from
+ * [DETECTION_MILLIS] after it turned cold on.
+ */
+class ColdStartIT {
+    private val running =
+        deployment {
+            entries(3)
+            model("talker-llm", replicas = 2) {
+                requestLimit = 12
+                coldRequestLimit = COLD_LIMIT
+            }
+        }
+
+    @AfterTest
+    fun end() = running.close()
+
+    @Test
+    fun `a new server gets no more than it bears while entries join and leave and the list is old`() {
+        val cold =
+            ModelPlan("talker-llm").apply {
+                settings = ModelEngineSettings(coldMillis = 20_000, coldRequestLimit = COLD_LIMIT)
+            }
+        BackgroundLoad(running, callers = 16).use { load ->
+            val added = running.addModel(cold)
+            load.goOn(3_000)
+            running.addEntry()
+            load.goOn(6_000)
+            running.entries.first().process.kill()
+            load.goOn(8_000)
+            val counts = added.ledger().load
+            assertTrue(counts.highestOpenCold <= COLD_LIMIT, "$counts")
+            assertEquals(0, counts.fellOver, "$counts")
+            eventually(20.seconds, { "${added.ledger().load}" }) { added.ledger().load.highestOpen > COLD_LIMIT }
+        }
+    }
+
+    @Test
+    fun `a server that turns cold again gets no more than it bears a few seconds later`() {
+        val server = running.models.first()
+        BackgroundLoad(running, callers = 16).use { load ->
+            eventually(20.seconds, { "${server.ledger().load}" }) { server.ledger().load.highestOpen > COLD_LIMIT }
+            server.turnCold(millis = 30_000, reported = true, newIncarnation = true)
+            load.goOn(DETECTION_MILLIS)
+            val before = server.ledger()
+            server.turnCold(millis = 10_000, reported = true)
+            load.goOn(9_000)
+            val after = server.ledger()
+            assertTrue(after.load.highestOpenCold <= COLD_LIMIT, "${after.load}")
+            assertEquals(before.load.fellOver, after.load.fellOver)
+            assertTrue(after.rows.size > before.rows.size, "a cold server gets its small load")
+        }
+    }
+
+    private companion object {
+        const val COLD_LIMIT = 1
+        const val DETECTION_MILLIS = 4_000L
+    }
+}
--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/LeavingServerIT.kt
@@ -0,0 +1,50 @@
+package org.yuccajunction.integration
+
+import org.yuccajunction.testing.platform.PlatformFaults
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/** Bound: from [BOUND_MILLIS] after the announcement on, a leaving server gets nothing new. */
+class LeavingServerIT {
+    private val running =
+        deployment {
+            entries(3)
+            model("talker-llm", replicas = 3)
+        }
+
+    @AfterTest
+    fun end() = running.close()
+
+    @Test
+    fun `a server under a reclaim notice gets no new work although the list is old`() {
+        running.platform.faults(PlatformFaults(instanceListLagMillis = 30_000))
+        assertNothingNewAfter { running.platform.announce(it, 60_000) }
+    }
+
+    @Test
+    fun `a server that the list marks as leaving gets no new work`() {
+        assertNothingNewAfter { running.platform.markLeaving(it) }
+    }
+
+    private fun assertNothingNewAfter(announce: (String) -> Unit) {
+        val server = running.models.first()
+        BackgroundLoad(running, callers = 9).use { load ->
+            eventually(20.seconds, { "${server.ledger().load}" }) { server.ledger().rows.size > 5 }
+            announce(server.id)
+            val announcedAt = System.currentTimeMillis()
+            load.goOn(12_000)
+            val late = server.ledger().rows.filter { it.receivedAtMillis > announcedAt + BOUND_MILLIS }
+            assertTrue(
+                late.isEmpty(),
+                "${late.size} requests, the last ${late.last().receivedAtMillis - announcedAt} ms after",
+            )
+            assertTrue(load.attempts.count { it.isWhole } > 0)
+        }
+    }
+
+    private companion object {
+        const val BOUND_MILLIS = 4_000L
+    }
+}
