Divide backend servers among entries only when something changed

Cause: a slope measured for the fleet of 410 entries and 12,000 servers: one tick took 9,077 us of processor time, ten times a second, and each reading of the instance list 25,356 us; stack samples showed the division of servers among entries, the search for entries in the list at each tick, and a search through all peers for each server. Ruled out: heartbeats (43 us each) and the routing table (425 us). Change: the list is kept as the same object while it is the same; the division is taken again only when entries, list, limits or drained servers differ; isolation is asked once a tick; drained servers and entries of the document take effect.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/Blackboard.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/Blackboard.kt
@@ -1,15 +1,12 @@
 package org.yuccajunction.control
 
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.yuccajunction.configuration.ConfigurationState
 import org.yuccajunction.document.Deployment
 import org.yuccajunction.lease.LeaseState
 import org.yuccajunction.membership.MembershipState
 import org.yuccajunction.model.BackendServerId
-import org.yuccajunction.model.InstanceId
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.rollout.RolloutState
 import org.yuccajunction.routing.ServerRecord
@@ -21,14 +18,14 @@
  *
  * @property now this entry's monotonic clock when the newest event came
  * @property deployment the configuration in force here
- * @property placedEntries the entries among which the shares of backend servers were last divided
+ * @property placement what the shares of backend servers were last divided by, null before the first time
  */
 public data class Blackboard(
     public val now: MonotonicTime,
     public val membership: MembershipState,
     public val deployment: Deployment = Deployment(),
     public val servers: PersistentMap<BackendServerId, ServerRecord> = persistentMapOf(),
-    public val placedEntries: PersistentSet<InstanceId> = persistentSetOf(),
+    public val placement: PlacementInputs? = null,
     public val rollout: RolloutState = RolloutState(),
     public val leases: LeaseState = LeaseState(),
     public val configuration: ConfigurationState = ConfigurationState(),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/InstanceController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/InstanceController.kt
@@ -3,6 +3,9 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.yuccajunction.membership.MembershipState
+import org.yuccajunction.model.InstanceRole
 import org.yuccajunction.model.PlatformInstance
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -36,16 +39,18 @@
 
     private fun onListed(board: Blackboard, instances: PersistentList<PlatformInstance>): Blackboard {
         val membership = board.membership
-        return board.copy(
-            membership =
-            membership.copy(
-                instances = instances.associateBy { it.id }.toPersistentMap(),
-                listedAt = board.now,
-                listing = membership.listing.succeeded(),
-            ),
-        )
+        val read = membership.copy(listedAt = board.now, listing = membership.listing.succeeded())
+        return board.copy(membership = if (instances == membership.listed) read else read.listing(instances))
     }
 
+    private fun MembershipState.listing(instances: PersistentList<PlatformInstance>): MembershipState =
+        copy(
+            instances = instances.associateBy { it.id }.toPersistentMap(),
+            listed = instances,
+            listedEntries =
+            instances.filter { it.role == InstanceRole.ENTRY }.map { it.id }.toPersistentSet(),
+        )
+
     private fun onUnavailable(board: Blackboard): Blackboard =
         board.copy(membership = board.membership.copy(listing = board.membership.listing.failed()))
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -150,9 +150,10 @@
         .toPersistentMap()
 
 private fun entries(board: Blackboard, takenOut: Set<AvailabilityZone>): PersistentList<EntryAddress> {
+    val drained = board.deployment.trafficRules.drainedEntries
     val peers = board.membership.peers.values.filterNot { it.suspected }.map { it.state }
     return (listOf(board.membership.self) + peers)
-        .filterNot { it.starting || it.leaving || it.availabilityZone in takenOut }
+        .filterNot { it.starting || it.leaving || it.availabilityZone in takenOut || it.entry.instance in drained }
         .map { it.address() }
         .toPersistentList()
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
@@ -1,11 +1,12 @@
 package org.yuccajunction.control
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.mutate
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.yuccajunction.capacity.ReclaimNotice
 import org.yuccajunction.model.BackendServerId
-import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.PlatformInstance
 import org.yuccajunction.routing.AttemptObservation
 import org.yuccajunction.routing.ServerRecord
 import org.yuccajunction.routing.ServerShare
@@ -20,7 +21,7 @@
     override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep {
         val step =
             when (event) {
-                is ControlEvent.InstancesListed -> ControlStep(ServerPlacements.place(board, event.instances))
+                is ControlEvent.InstancesListed -> ControlStep(ServerPlacements.place(board, listed(board, event)))
                 is ControlEvent.DeploymentRead -> ControlStep(replaced(board))
                 is ControlEvent.ServerReported -> ControlStep(reported(board, event))
                 is ControlEvent.AttemptsEnded -> ControlStep(event.observations.fold(board, ::attempted))
@@ -32,7 +33,7 @@
     }
 
     private fun replaced(board: Blackboard): Blackboard {
-        val instances = board.membership.instances.values
+        val instances = board.membership.listed
         return if (instances.isEmpty()) board else ServerPlacements.place(board, instances)
     }
 
@@ -56,35 +57,33 @@
             ServerStates.announced(it, it.signs.copy(noticedUntil = until), board.now)
         }
 
-    private fun ticked(board: Blackboard, random: Random): ControlStep {
-        val newEntries = ServerPlacements.entries(board, board.membership.instances.values) != board.placedEntries
-        return poll(if (newEntries) replaced(board) else board, random)
-    }
+    private fun ticked(board: Blackboard, random: Random): ControlStep = poll(replaced(board), random)
+
+    /** Returns the list that the blackboard holds where it is the one just read, so that no change is seen as one. */
+    private fun listed(board: Blackboard, event: ControlEvent.InstancesListed): PersistentList<PlatformInstance> =
+        board.membership.listed.takeIf { it.size == event.instances.size } ?: event.instances
 
     private fun poll(board: Blackboard, random: Random): ControlStep {
         val commands = persistentListOf<ControlCommand>().builder()
+        val cutOff = board.membership.isIsolated(board.now, ServerShare.ISOLATION_TIMEOUT)
         val servers =
             board.servers.mutate { records ->
                 board.servers.forEach { (id, record) ->
                     val due = record.pollAt <= board.now
                     if (due) commands += ControlCommand.PollServer(id, record.endpoint)
-                    val next = refreshed(board, record, if (due) board.now + pollInterval(random) else record.pollAt)
+                    val pollAt = if (due) board.now + pollInterval(random) else record.pollAt
+                    val next = refreshed(board, record.copy(pollAt = pollAt), cutOff)
                     if (next != record) records[id] = next
                 }
             }
         return ControlStep(board.copy(servers = servers), commands.build())
     }
 
-    private fun refreshed(board: Blackboard, record: ServerRecord, pollAt: MonotonicTime): ServerRecord {
-        val settled = record.copy(usable = usable(board, record), pollAt = pollAt)
-        return ServerStates.announced(settled, settled.signs, board.now)
-    }
-
-    /** An isolated entry may have missed that another one has taken over its cold starts. */
-    private fun usable(board: Blackboard, record: ServerRecord): ServerShare.Permits {
+    /** Returns [record] with what may be used now; an entry that is cut off may have lost its cold starts to others. */
+    private fun refreshed(board: Blackboard, record: ServerRecord, cutOff: Boolean): ServerRecord {
         val usable = record.share.usable(board.now)
-        val isolated = board.membership.isIsolated(board.now, ServerShare.ISOLATION_TIMEOUT)
-        return if (isolated) usable.copy(cold = 0) else usable
+        val settled = record.copy(usable = if (cutOff) usable.copy(cold = 0) else usable)
+        return ServerStates.announced(settled, settled.signs, board.now)
     }
 
     private fun pollInterval(random: Random): Duration =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerPlacements.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerPlacements.kt
@@ -1,13 +1,9 @@
 package org.yuccajunction.control
 
 import kotlinx.collections.immutable.mutate
-import kotlinx.collections.immutable.toPersistentSet
-import org.yuccajunction.document.Deployment
 import org.yuccajunction.model.BackendServerId
-import org.yuccajunction.model.InstanceId
 import org.yuccajunction.model.InstanceRole
 import org.yuccajunction.model.PlatformInstance
-import org.yuccajunction.model.ServiceName
 import org.yuccajunction.routing.EntryRanking
 import org.yuccajunction.routing.RendezvousHash
 import org.yuccajunction.routing.ServerLimits
@@ -24,30 +20,23 @@
 
     /** Returns [board] with the servers that [instances] hold for this entry. */
     fun place(board: Blackboard, instances: Collection<PlatformInstance>): Blackboard {
-        val entries = entries(board, instances)
-        val ranking = EntryRanking(board.membership.self.entry.instance, entries)
-        val limits = limits(board.deployment)
+        val inputs = PlacementInputs.of(board, instances)
+        return if (inputs.isSameAs(board.placement)) board else place(board, inputs)
+    }
+
+    private fun place(board: Blackboard, inputs: PlacementInputs): Blackboard {
+        val ranking = EntryRanking(board.membership.self.entry.instance, inputs.entries)
         val byService =
-            instances
-                .filter { it.role == InstanceRole.BACKEND_SERVER && it.service in limits }
+            inputs.instances
+                .filter { it.role == InstanceRole.BACKEND_SERVER && it.service in inputs.limits }
                 .groupBy { it.service }
         val records =
             board.servers.clear().mutate { records ->
                 byService.forEach { (service, servers) ->
-                    placeService(board, ranking, servers, limits.getValue(service), records)
+                    placeService(board, ranking, servers, inputs.limits.getValue(checkNotNull(service)), records)
                 }
             }
-        return board.copy(servers = records, placedEntries = entries.toPersistentSet())
-    }
-
-    /**
-     * Returns every entry that may send requests: those listed, whether heard of or not, and those heard of that the
-     * list lags behind.
-     */
-    fun entries(board: Blackboard, instances: Collection<PlatformInstance>): Set<InstanceId> {
-        val listed = instances.filter { it.role == InstanceRole.ENTRY }.map { it.id }
-        val heard = board.membership.peers.filterValues { !it.suspected }.keys
-        return (listed + heard + board.membership.self.entry.instance).toSet()
+        return board.copy(servers = records, placement = inputs)
     }
 
     private fun placeService(
@@ -99,12 +88,10 @@
                 usable = share.usable(board.now),
                 borrowed = borrowed,
             )
-        return ServerStates.announced(placed, placed.signs.copy(listed = instance.leaving), board.now)
+        val drained = instance.serverId() in board.deployment.trafficRules.drainedBackendServers
+        val signs = placed.signs.copy(listed = instance.leaving, drained = drained)
+        return ServerStates.announced(placed, signs, board.now)
     }
-
-    private fun limits(deployment: Deployment): Map<ServiceName?, ServerLimits> =
-        deployment.models.associate { it.name to ServerLimits(it.requestLimit, it.coldRequestLimit) } +
-            deployment.applications.associate { it.name to ServerLimits(it.requestLimit, it.coldRequestLimit) }
 }
 
 /** Returns the id under which the instance is known as a backend server. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
@@ -2,8 +2,10 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.yuccajunction.model.InstanceId
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.PlatformInstance
@@ -14,6 +16,8 @@
  *
  * @property peers the other entries, by instance
  * @property instances the platform's instance list as last read
+ * @property listed the rows of [instances] in the order of the list; the same object while the list is the same
+ * @property listedEntries the entries among [listed]
  * @property listedAt when [instances] was read, null before the first time
  * @property lastBeatAt when the last round of heartbeats was sent
  * @property nextBeatAt when the next round is due, null for at once
@@ -32,6 +36,8 @@
     public val self: EntryState,
     public val peers: PersistentMap<InstanceId, PeerRecord> = persistentMapOf(),
     public val instances: PersistentMap<InstanceId, PlatformInstance> = persistentMapOf(),
+    public val listed: PersistentList<PlatformInstance> = persistentListOf(),
+    public val listedEntries: PersistentSet<InstanceId> = persistentSetOf(),
     public val listedAt: MonotonicTime? = null,
     public val lastBeatAt: MonotonicTime? = null,
     public val nextBeatAt: MonotonicTime? = null,
