--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RoutingTables.kt
@@ -153,6 +153,7 @@
     val peers = board.membership.peers.values.filterNot { it.suspected }.map { it.state }
     return (listOf(board.membership.self) + peers)
         .filterNot { it.starting || it.leaving || it.availabilityZone in takenOut }
+        .filterNot { it.entry.instance in board.deployment.trafficRules.drainedEntries }
         .map { it.address() }
         .toPersistentList()
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
@@ -68,16 +68,22 @@
                 board.servers.forEach { (id, record) ->
                     val due = record.pollAt <= board.now
                     if (due) commands += ControlCommand.PollServer(id, record.endpoint)
-                    val next = refreshed(board, record, if (due) board.now + pollInterval(random) else record.pollAt)
+                    val next = refreshed(board, id, record, if (due) board.now + pollInterval(random) else record.pollAt)
                     if (next != record) records[id] = next
                 }
             }
         return ControlStep(board.copy(servers = servers), commands.build())
     }
 
-    private fun refreshed(board: Blackboard, record: ServerRecord, pollAt: MonotonicTime): ServerRecord {
+    private fun refreshed(
+        board: Blackboard,
+        id: BackendServerId,
+        record: ServerRecord,
+        pollAt: MonotonicTime,
+    ): ServerRecord {
         val settled = record.copy(usable = usable(board, record), pollAt = pollAt)
-        return ServerStates.announced(settled, settled.signs, board.now)
+        val drained = id in board.deployment.trafficRules.drainedBackendServers
+        return ServerStates.announced(settled, settled.signs.copy(drained = drained), board.now)
     }
 
     private fun usable(board: Blackboard, record: ServerRecord): ServerShare.Permits {
