--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
@@ -68,7 +68,8 @@
                 board.servers.forEach { (id, record) ->
                     val due = record.pollAt <= board.now
                     if (due) commands += ControlCommand.PollServer(id, record.endpoint)
-                    val next = refreshed(board, id, record, if (due) board.now + pollInterval(random) else record.pollAt)
+                    val next =
+                        refreshed(board, id, record, if (due) board.now + pollInterval(random) else record.pollAt)
                     if (next != record) records[id] = next
                 }
             }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/DrainTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/DrainTest.kt
@@ -45,7 +45,8 @@
 
     private fun board(rules: TrafficRules): Blackboard {
         val peer = entry("entry-2")
-        val instance = PlatformInstance(InstanceId("server-1"), InstanceRole.BACKEND_SERVER, zone, Endpoint("10.0.0.9", 1))
+        val instance =
+            PlatformInstance(InstanceId("server-1"), InstanceRole.BACKEND_SERVER, zone, Endpoint("10.0.0.9", 1))
         return Blackboard(
             now = MonotonicTime.ZERO,
             membership = MembershipState(
