--- /dev/null
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/platform/CountedObjectStore.kt
@@ -0,0 +1,58 @@
+package org.yuccajunction.adapters.platform
+
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectVersion
+import org.yuccajunction.port.ObjectWriting
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/**
+ * Counts the calls to an object API, keeps them within a budget and holds them back after failures in a row.
+ *
+ * A call that is held back is not made: a read or listing is unavailable, a write is refused before it took effect.
+ *
+ * @param store makes the calls
+ * @param onCall is told of each call that is made; a waiting watch is one call
+ */
+public class CountedObjectStore(
+    private val store: ObjectStore,
+    budget: StoreBudget = StoreBudget(),
+    clock: () -> MonotonicTime = { MonotonicTime(System.nanoTime()) },
+    random: Random = Random.Default,
+    private val onCall: (StoreCallKind) -> Unit = {},
+) : ObjectStore {
+    private val gate = StoreGate(budget, clock, random)
+
+    override suspend fun read(key: String): ObjectReading =
+        counted(StoreCallKind.READ, ObjectReading::Unavailable) { store.read(key) }
+
+    override suspend fun write(key: String, value: String, expected: ExpectedVersion): ObjectWriting =
+        counted(StoreCallKind.WRITE, ObjectWriting::Refused) { store.write(key, value, expected) }
+
+    override suspend fun remove(key: String, expected: ExpectedVersion): ObjectWriting =
+        counted(StoreCallKind.REMOVE, ObjectWriting::Refused) { store.remove(key, expected) }
+
+    override suspend fun list(prefix: String): ObjectListing =
+        counted(StoreCallKind.LIST, ObjectListing::Unavailable) { store.list(prefix) }
+
+    override suspend fun watch(prefix: String, after: ObjectVersion, atMost: Duration): ObjectListing =
+        counted(StoreCallKind.WATCH, ObjectListing::Unavailable) { store.watch(prefix, after, atMost) }
+
+    private suspend fun <A : Any> counted(kind: StoreCallKind, heldBack: (String) -> A, call: suspend () -> A): A {
+        gate.refusal()?.let { return heldBack(it) }
+        onCall(kind)
+        val answer = call()
+        if (isFailure(answer)) gate.failed() else gate.succeeded()
+        return answer
+    }
+
+    private fun isFailure(answer: Any): Boolean =
+        answer is ObjectReading.Unavailable ||
+            answer is ObjectListing.Unavailable ||
+            answer is ObjectWriting.Refused ||
+            answer is ObjectWriting.Unknown
+}
