Reach the object API through counted stores, one for control and one for requests

Change: the entry counts calls by kind as yuccajunction.store.calls; claims of requests and calls of control have budgets of their own, so that neither holds the other back.

--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryMeters.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryMeters.kt
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
 import org.yuccajunction.adapters.peer.PeerTraffic
+import org.yuccajunction.adapters.platform.StoreCallKind
 
 /** Registers what control costs an entry. */
 internal object EntryMeters {
@@ -28,5 +29,10 @@
         JvmMemoryMetrics().bindTo(meters)
     }
 
+    /** Counts one call to the object API. */
+    fun countStoreCall(meters: MeterRegistry, kind: StoreCallKind) {
+        meters.counter("yuccajunction.store.calls", "kind", kind.name.lowercase()).increment()
+    }
+
     private const val NANOS = 1e9
 }
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -55,7 +55,7 @@
     private val self = EntryIncarnation(settings.instanceId, System.currentTimeMillis())
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    private val outside = OutsideSystems(settings)
+    private val outside = OutsideSystems(settings) { EntryMeters.countStoreCall(meters, it) }
     private val membership = MembershipController()
     private val chooser = LoadBoundedServerChooser()
     private val openRequests = OpenRequests()
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/OutsideSystems.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/OutsideSystems.kt
@@ -5,23 +5,34 @@
 import org.yuccajunction.adapters.engine.OpenAiModelEngine
 import org.yuccajunction.adapters.peer.GrpcPeers
 import org.yuccajunction.adapters.peer.PeerTraffic
+import org.yuccajunction.adapters.platform.CountedObjectStore
 import org.yuccajunction.adapters.platform.HttpCloudApi
 import org.yuccajunction.adapters.platform.HttpInstanceList
 import org.yuccajunction.adapters.platform.HttpObjectStore
 import org.yuccajunction.adapters.platform.PlatformClient
+import org.yuccajunction.adapters.platform.StoreBudget
+import org.yuccajunction.adapters.platform.StoreCallKind
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.port.Application
 import org.yuccajunction.port.ModelEngine
 import org.yuccajunction.port.ObjectStore
 import java.net.URI
 
-/** The adapters of one entry: the one place that names which protocol each outside system is reached by. */
-public class OutsideSystems(settings: EntrySettings) : AutoCloseable {
+/**
+ * The adapters of one entry: the one place that names which protocol each outside system is reached by.
+ *
+ * Control and requests have budgets of their own for the object API, so that neither can use up the other's.
+ *
+ * @param onStoreCall is told of each call to the object API
+ */
+public class OutsideSystems(settings: EntrySettings, onStoreCall: (StoreCallKind) -> Unit = {}) : AutoCloseable {
     private val platformClient = PlatformClient.create()
     private val backendClient = BackendClient.create()
 
+    private val controlObjects = CountedObjectStore(httpObjects(settings), onCall = onStoreCall)
+
     public val peerTraffic: PeerTraffic = PeerTraffic()
-    public val objects: ObjectStore = HttpObjectStore(platformClient, settings.platformUrl.toEndpoint())
+    public val objects: ObjectStore = CountedObjectStore(httpObjects(settings), REQUEST_BUDGET, onCall = onStoreCall)
     public val instances: HttpInstanceList = HttpInstanceList(platformClient, settings.platformUrl.toEndpoint())
     public val cloud: HttpCloudApi = HttpCloudApi(platformClient, settings.cloudUrl.toEndpoint())
     public val engine: ModelEngine = OpenAiModelEngine(backendClient)
@@ -29,13 +40,20 @@
     public val peers: GrpcPeers = GrpcPeers(peerTraffic)
 
     /** The systems that control commands reach. */
-    public fun controlPorts(): ControlPorts = ControlPorts(objects, instances, cloud, engine, peers)
+    public fun controlPorts(): ControlPorts = ControlPorts(controlObjects, instances, cloud, engine, peers)
+
+    private fun httpObjects(settings: EntrySettings) =
+        HttpObjectStore(platformClient, settings.platformUrl.toEndpoint())
 
     override fun close() {
         peers.close()
         backendClient.close()
         platformClient.close()
     }
+
+    private companion object {
+        val REQUEST_BUDGET = StoreBudget(callsPerSecond = 40.0, burst = 200.0)
+    }
 }
 
 private const val HTTP_PORT = 80
