Take a pause of this process not for silence of a server, and check orders with real processes

Cause: AtMostOnceIT froze the home of an order for 16 s; on waking, the timer ran before the answer that waited in the socket was read, and the order ended as unknown though its answer was there. Change: silence is counted in steps of at most a second, and starts anew with each word of the server.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/Attempt.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/Attempt.kt
@@ -5,6 +5,8 @@
 import org.yuccajunction.routing.AttemptResult
 import org.yuccajunction.routing.RoutingQuery
 import org.yuccajunction.routing.ServerRoute
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The state of one attempt at a backend server. */
 internal class Attempt(
@@ -18,9 +20,28 @@
     var firstProgressAt: MonotonicTime? = null
     var tokens: Int = 0
 
+    /** How long the server has said nothing; a pause of this process counts as one step of time. */
+    var silence: Duration = Duration.ZERO
+        private set
+    private var elapsedAt: MonotonicTime = dispatchedAt
+
+    /** Notes that time has passed without a word from the server. */
+    fun elapse(now: MonotonicTime) {
+        silence += minOf(now - elapsedAt, LONGEST_STEP)
+        elapsedAt = now
+    }
+
+    /** Notes that the server has said something. */
+    fun heard(now: MonotonicTime) {
+        silence = Duration.ZERO
+        elapsedAt = now
+        lastProgressAt = now
+    }
+
+    /** Notes that the server has sent a part of the answer. */
     fun progress(now: MonotonicTime) {
+        heard(now)
         if (firstProgressAt == null) firstProgressAt = now
-        lastProgressAt = now
         tokens += 1
     }
 
@@ -48,5 +69,6 @@
 
     private companion object {
         const val MICROSECONDS_PER_MILLISECOND = 1000.0
+        val LONGEST_STEP = 1.seconds
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/Attempts.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/Attempts.kt
@@ -63,7 +63,8 @@
         val service = environment.table().services[base.service] ?: return false
         val begun = attempt.firstProgressAt != null
         val bound = if (begun) SilenceBound.nextToken(service) else SilenceBound.firstToken(service)
-        return now - attempt.lastProgressAt >= bound
+        attempt.elapse(now)
+        return attempt.silence >= bound
     }
 
     /** Lets servers that failed this request be chosen again. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/CallMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/CallMachine.kt
@@ -82,7 +82,8 @@
         val deadline = request.deadline
         if (deadline != null && now >= deadline) return pastDeadline(attempt)
         val bound = environment.table().services[request.service]?.let(SilenceBound::answer)
-        if (bound == null || now - attempt.dispatchedAt < bound) return emptyList()
+        attempt.elapse(now)
+        if (bound == null || attempt.silence < bound) return emptyList()
         val cancel = RequestCommand.Cancel(attempt.number)
         return listOf(cancel) + unclear(AttemptResult.SILENT, "the application did not answer in time", now)
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/StreamMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/StreamMachine.kt
@@ -63,7 +63,7 @@
 
     private fun accept(now: MonotonicTime): List<RequestCommand> {
         accepted = true
-        attempts.current?.lastProgressAt = now
+        attempts.current?.heard(now)
         return emptyList()
     }
 
--- /dev/null
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/AtMostOnceIT.kt
@@ -0,0 +1,161 @@
+package org.yuccajunction.integration
+
+import org.yuccajunction.testing.application.ApplicationFaults
+import org.yuccajunction.testing.platform.PlatformFaults
+import org.yuccajunction.testing.proxy.ProxyFaults
+import kotlin.concurrent.thread
+import kotlin.random.Random
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/** No order runs twice, whatever happens to its home, its connections and the object API. */
+class AtMostOnceIT {
+    private val running = deployment {
+        entries(3)
+        entriesBehindProxy = true
+        shutdownNoticeSeconds = 6
+        addressAnswerSeconds = 1
+        application("order-desk", replicas = 2) { behindProxy = true }
+    }
+    private val caller = TestCaller(running.key)
+    private val home = running.entries[0]
+    private val others = running.entries.drop(1)
+
+    @AfterTest
+    fun end() = running.close()
+
+    @Test
+    fun `a lost answer is not made up for by a second run`() {
+        running.applications.forEach { it.faults(ApplicationFaults(loseAnswer = true)) }
+        val id = id(home, "lost")
+        val attempts = (running.entries + running.entries).map { order(it, id) }
+        assertEquals(setOf("unknown"), attempts.map { it.outcome }.toSet())
+        assertEquals(1, runs(id))
+    }
+
+    @Test
+    fun `a repeated order gets the kept answer everywhere`() {
+        val id = id(home, "kept")
+        val bodies = (running.entries + running.entries).map { order(it, id).body }
+        assertEquals(1, bodies.toSet().size, "$bodies")
+        assertEquals(1, runs(id))
+    }
+
+    @Test
+    fun `a frozen home runs the order once and answers when it wakes`() {
+        running.applications.forEach { it.faults(ApplicationFaults(delayMillis = 500)) }
+        val id = id(home, "frozen")
+        val first = thread { order(home, id) }
+        eventually(5.seconds, { "no order arrived" }) { received() == 1 }
+        home.process.freeze()
+        val meanwhile = others.map { order(it, id) }
+        assertTrue(meanwhile.none { it.isNotRun }, "a request that may run was called not run")
+        home.process.resume()
+        first.join()
+        eventually(10.seconds, { "no answer after the home woke" }) { order(others[0], id).status == 200 }
+        assertEquals(1, runs(id))
+    }
+
+    @Test
+    fun `a dead home leaves the outcome unknown`() {
+        running.applications.forEach { it.faults(ApplicationFaults(delayMillis = 500)) }
+        val id = id(home, "dead")
+        val first = thread { order(home, id) }
+        eventually(5.seconds, { "no order arrived" }) { received() == 1 }
+        home.process.kill()
+        first.join()
+        val retries = (others + others).map { order(it, id) }
+        assertEquals(setOf("unknown"), retries.map { it.outcome }.toSet())
+        assertTrue(runs(id) <= 1)
+    }
+
+    @Test
+    fun `a home cut off from its peers runs the order only for callers that reach it`() {
+        checkNotNull(home.peerRoute).partition()
+        val id = id(home, "partitioned")
+        val elsewhere = others.map { order(it, id) }
+        assertEquals(setOf("unknown"), elsewhere.map { it.outcome }.toSet())
+        assertEquals(0, runs(id))
+        assertEquals(200, order(home, id).status)
+        assertTrue(others.map { order(it, id) }.none { it.isNotRun })
+        assertEquals(1, runs(id))
+    }
+
+    @Test
+    fun `a home that left answers through its successor and a new order of its identity is not run`() {
+        val ran = id(home, "ran")
+        val answer = order(home, ran).body
+        val young = id(home, "young")
+        home.process.terminate()
+        assertTrue(home.process.awaitEnd(15.seconds), "${home.process.lines.takeLast(20)}")
+        eventually(5.seconds, { "no successor answers" }) { others.all { order(it, ran).body == answer } }
+        val refused = others.map { order(it, young) }
+        assertTrue(refused.all { it.isNotRun }, "${refused.map { it.body }}")
+        assertEquals(listOf(1, 0), listOf(runs(ran), runs(young)))
+    }
+
+    @Test
+    fun `an idempotency key runs once while the store loses answers and not at all while it is down`() {
+        running.platform.faults(PlatformFaults(loseWriteAnswers = 1))
+        val attempts = running.entries.map { keyed(it, "key-1") }
+        assertTrue(attempts.any { it.status == 200 }, "${attempts.map { it.body }}")
+        assertEquals(1, ranAltogether())
+        running.platform.faults(PlatformFaults(objectsUnavailable = true))
+        val refused = running.entries.map { keyed(it, "key-2") }
+        assertTrue(refused.all { it.isNotRun }, "${refused.map { it.body }}")
+        assertEquals(1, ranAltogether())
+    }
+
+    @Test
+    fun `cuts at random bytes never run an order twice and make no refusal false`() {
+        val random = Random(SEED)
+        val notRun = mutableListOf<String>()
+        val ids = List(ORDERS) { id(running.entries.random(random), "cut-$it") }
+        for (id in ids) {
+            running.applications.forEach { checkNotNull(it.route).faults(cut(random)) }
+            repeat(3) {
+                val attempt = order(running.entries.random(random), id)
+                if (attempt.isNotRun) assertEquals(0, runs(id), "order $id was called not run: ${attempt.body}")
+                if (attempt.isNotRun) notRun += id
+            }
+        }
+        assertTrue(ids.all { runs(it) <= 1 })
+        println("$ORDERS orders, ${ids.count { runs(it) == 1 }} run, ${notRun.size} refusals")
+    }
+
+    private fun cut(random: Random): ProxyFaults {
+        val toTarget = random.nextLong(0, 400).takeIf { random.nextInt(3) == 0 }
+        val toClient = random.nextLong(0, 300).takeIf { random.nextInt(3) == 0 }
+        return ProxyFaults(
+            cutAfterBytesToTarget = toTarget,
+            cutAfterBytesToClient = toClient,
+            cutByReset = random.nextBoolean(),
+            refuseNew = random.nextInt(6) == 0,
+        )
+    }
+
+    private fun id(home: EntryHandle, suffix: String): String {
+        val prefix = poll(5.seconds, { "${home.id} is not named" }) { home.identityPrefix() }
+        return "$prefix~$suffix"
+    }
+
+    private fun order(entry: EntryHandle, id: String): CallAttempt =
+        caller.call(entry.caller, "order-desk", "POST", "/jobs", "talkers", mapOf("Yucca-Request-Id" to id))
+
+    private fun keyed(entry: EntryHandle, key: String): CallAttempt =
+        caller.call(entry.caller, "order-desk", "POST", "/jobs", "talkers", mapOf("Idempotency-Key" to key))
+
+    private fun runs(id: String): Int = running.applications.sumOf { it.ledger().runs(id) }
+
+    private fun received(): Int = running.applications.sumOf { it.ledger().received }
+
+    private fun ranAltogether(): Int = running.applications.sumOf { it.ledger().rows.size }
+
+    private companion object {
+        const val SEED = 7
+        const val ORDERS = 60
+    }
+}
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/EntryHandle.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/EntryHandle.kt
@@ -1,6 +1,8 @@
 package org.yuccajunction.integration
 
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
 import org.yuccajunction.entry.EntryStateReport
@@ -52,6 +54,13 @@
     /** Asks the entry for the addresses to use. */
     fun addresses(): JsonObject = Http.read(caller, "/v1/entries", JsonObject.serializer())
 
+    /** Returns the start of the identities whose home is this entry, null where its address answer names it no more. */
+    fun identityPrefix(): String? =
+        checkNotNull(addresses()["entries"]).jsonArray.map {
+            it.jsonObject.getValue("identityPrefix").jsonPrimitive.content
+        }
+            .firstOrNull { it.startsWith("$id~") }
+
     /** How long, in seconds, the entry's address answer may be kept. */
     fun keepSeconds(): Long = checkNotNull(addresses()["keepSeconds"]).jsonPrimitive.long
 }
