--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/EntryProcess.kt
@@ -17,8 +17,10 @@
 import org.yuccajunction.control.ControlEvent
 import org.yuccajunction.control.ControlState
 import org.yuccajunction.control.InstanceController
+import org.yuccajunction.control.LeaseController
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.control.MembershipController
+import org.yuccajunction.control.RolloutController
 import org.yuccajunction.control.ServerController
 import org.yuccajunction.entry.operating.OperatorContext
 import org.yuccajunction.entry.operating.OperatorsFile
@@ -134,7 +136,9 @@
                 membership,
                 InstanceController(),
                 ConfigurationController(),
+                LeaseController(),
                 ServerController(),
+                RolloutController(),
             )
         val state = ControlState(Blackboard(clock(), MembershipState(initialState())), controllers, random)
         lateinit var control: ControlThread
