--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallHandler.kt
@@ -111,7 +111,7 @@
     }
 }
 
-private const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+internal const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 
 private val DROPPED_HEADERS =
     setOf(
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallerServer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallerServer.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.entry.serving
 
 import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
@@ -17,8 +18,10 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.yuccajunction.model.Ending
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.EntryIncarnation
+import org.yuccajunction.model.RefusalReason
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -75,20 +78,29 @@
     private fun Application.routes() {
         routing {
             get("/v1/entries") { addresses.handle(call) }
-            post("/v1/chat/completions") { answering { completions.handle(call) } }
-            route("/apps/{application}/{path...}") { handle { answering { calls.handle(call) } } }
+            post("/v1/chat/completions") { answering(call) { completions.handle(call) } }
+            route("/apps/{application}/{path...}") { handle { answering(call) { calls.handle(call) } } }
         }
     }
 
-    private suspend fun answering(answer: suspend () -> Unit) {
-        state.answering.incrementAndGet()
+    private suspend fun answering(call: ApplicationCall, answer: suspend () -> Unit) {
+        val open = state.answering.incrementAndGet()
         try {
-            answer()
+            if (open > context.limits.unansweredRequests) call.respondProblem(crowded(call)) else answer()
         } finally {
             state.answering.decrementAndGet()
         }
     }
 
+    /** An order that names itself may have been run for an earlier sending, so that it is not called not run. */
+    private fun crowded(call: ApplicationCall): ProblemDocument {
+        val detail = "the entry holds ${context.limits.unansweredRequests} unanswered requests"
+        val headers = call.request.headers
+        val isNamed = REQUEST_ID_HEADER in headers || IDEMPOTENCY_KEY_HEADER in headers
+        if (isNamed) return state.problems.of(Ending.OutcomeUnknown(detail))
+        return state.problems.refusal(RefusalReason.ENTRY_LIMIT, detail)
+    }
+
     private suspend fun dropUnreadStreams() {
         while (true) {
             delay(DROP_INTERVAL)
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingLimits.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingLimits.kt
@@ -11,7 +11,7 @@
  * @property bodyBytes longest body of a request
  * @property headerBytes longest header section of a request
  * @property openRequests requests that the entry holds open at once
- * @property streamTokens longest answer of a model
+ * @property unansweredRequests requests that the entry reads and answers at once, repeated ones included
  * @property requestTime longest life of one request
  * @property resumeGrace how long a stream goes on after its caller's connection broke
  * @property records bounds on the at-most-once records
@@ -20,7 +20,7 @@
     public val bodyBytes: Int = 2_097_152,
     public val headerBytes: Int = 16_384,
     public val openRequests: Int = 1_024,
-    public val streamTokens: Int = 32_768,
+    public val unansweredRequests: Int = 4_096,
     public val requestTime: Duration = 10.minutes,
     public val resumeGrace: Duration = 15.seconds,
     public val records: RecordLimits = RecordLimits(),
--- a/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/serving/AtMostOnceFaultsTest.kt
+++ b/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/serving/AtMostOnceFaultsTest.kt
@@ -112,7 +112,13 @@
 
         private fun table(): RoutingTable {
             val server = ServerRoute(
-                BackendServerId("desk-1"), Endpoint("10.0.0.1", 1), ZONE, ServiceVersion("v1"), ServerState.READY, 3, 3,
+                BackendServerId("desk-1"),
+                Endpoint("10.0.0.1", 1),
+                ZONE,
+                ServiceVersion("v1"),
+                ServerState.READY,
+                3,
+                3,
             )
             val servers = persistentListOf(server, server.copy(id = BackendServerId("desk-2")))
             val route = ServiceRoute(DESK, ServiceKind.APPLICATION, latencyTargetMillis = 100, servers = servers)
