--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/capacity/InstanceMix.kt
@@ -0,0 +1,15 @@
+package org.yuccajunction.capacity
+
+/** How many instances of each offer serve one version of a service. */
+public data class InstanceMix(public val counts: Map<InstanceOffer, Int>) {
+    /** Price of all instances together. */
+    public val pricePerHour: Double get() = counts.entries.sumOf { (offer, count) -> offer.pricePerHour * count }
+
+    /** Number of instances. */
+    public val size: Int get() = counts.values.sum()
+
+    /** Number of instances that are left when the zone with the most of them is lost. */
+    public val sizeAfterZoneLoss: Int
+        get() = size -
+            (counts.entries.groupBy { it.key.availabilityZone }.maxOfOrNull { it.value.sumOf { e -> e.value } } ?: 0)
+}
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/OperatorCommand.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/OperatorCommand.kt
@@ -13,7 +13,9 @@
 
     /** The element of the entries' operators file that names this operator. */
     val rule: String
-        get() = "- name: $name\n  tokenHash: ${OperatorDirectory.hashOf(token)}\n  sections: [${sections.joinToString()}]\n"
+        get() = "- name: $name\n  tokenHash: ${OperatorDirectory.hashOf(
+            token,
+        )}\n  sections: [${sections.joinToString()}]\n"
 
     /** Starts the command line with [arguments] against [entries]. */
     fun start(entries: List<EntryHandle>, vararg arguments: String): RunningCommand {
--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/OperatorCommandsIT.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/OperatorCommandsIT.kt
@@ -56,10 +56,25 @@
                 who to write("rules-$number", rules(0.1 + 0.1 * number + 0.01 * round))
             }
             val commands = files.map { (who, file) ->
-                who.start(running.entries, "apply", file, "--section", "traffic-rules", "--read-at", "$revision", "--wait")
+                who.start(
+                    running.entries,
+                    "apply",
+                    file,
+                    "--section",
+                    "traffic-rules",
+                    "--read-at",
+                    "$revision",
+                    "--wait",
+                )
             }
             val endings = commands.map { it.await() }
-            assertEquals(listOf(ExitCode.DONE.code, ExitCode.CONFLICT.code), endings.map { it.code }.sorted(), "$endings")
+            assertEquals(
+                listOf(ExitCode.DONE.code, ExitCode.CONFLICT.code),
+                endings.map {
+                    it.code
+                }.sorted(),
+                "$endings",
+            )
             val winner = files[endings.indexOfFirst { it.code == ExitCode.DONE.code }].second
             assertDone(run("diff", winner, "--section", "traffic-rules"))
         }
@@ -128,5 +143,9 @@
 
     private fun run(vararg arguments: String) = operator.run(running.entries, *arguments)
 
-    private fun assertDone(ending: OperatorCommand.CommandEnding) = assertEquals(ExitCode.DONE.code, ending.code, "$ending")
+    private fun assertDone(ending: OperatorCommand.CommandEnding) = assertEquals(
+        ExitCode.DONE.code,
+        ending.code,
+        "$ending",
+    )
 }
