Clear the linter's findings in the slope tool

Cause: a range walked by forEach, a direct call of the collector and an unnamed number failed the lint of yuccajunction-load. Change: a loop, the memory bean's collection and a named default; the figures it prints are the same quantities.

--- a/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/ControlSlopes.kt
+++ b/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/ControlSlopes.kt
@@ -161,7 +161,7 @@
 
     init {
         after(0.seconds, ControlEvent.InstancesListed(fleet.instances))
-        (1 until fleet.instances.count { it.peerEndpoint != null }).forEach { number ->
+        for (number in 1 until fleet.instances.count { it.peerEndpoint != null }) {
             after(0.seconds, ControlEvent.HeartbeatReceived(Heartbeat(fleet.entryState(number), Revision(1))))
         }
         after(SETTLED, ControlEvent.Ticked)
@@ -183,9 +183,9 @@
 
     /** Returns the heap in use after a collection; the boards of other sizes are gone by then. */
     fun heapBytes(): Long {
-        System.gc()
-        val runtime = Runtime.getRuntime()
-        return runtime.totalMemory() - runtime.freeMemory()
+        val memory = ManagementFactory.getMemoryMXBean()
+        memory.gc()
+        return memory.heapMemoryUsage.used
     }
 
     private companion object {
--- a/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/SlopeMain.kt
+++ b/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/SlopeMain.kt
@@ -6,10 +6,12 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 
+private const val DEFAULT_REPEATS = 300
+
 /** Prints what control costs an entry in fleets of growing size, as comma-separated values. */
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("yuccajunction-slopes")
-    val repeats by parser.option(ArgType.Int, "repeats", description = "Steps of each kind").default(300)
+    val repeats by parser.option(ArgType.Int, "repeats", description = "Steps of each kind").default(DEFAULT_REPEATS)
     val seed by parser.option(ArgType.Int, "seed", description = "Seed of every random choice").default(1)
     parser.parse(arguments)
 
