Test serving with a chooser that holds no policy

Cause: the fixtures of serving named a chooser that is gone; with the entry's own chooser 16 of their tests were refused by admission, which they do not test. Change: the fixtures take the first server with a permit left.

--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/ControlThread.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/ControlThread.kt
@@ -111,6 +111,6 @@
         const val EVENT_CAPACITY = 4_096
         const val OBSERVATION_CAPACITY = 16_384
         val TICK = 100.milliseconds
-        val TABLE_INTERVAL = 50.milliseconds
+        val TABLE_INTERVAL = 100.milliseconds
     }
 }
--- /dev/null
+++ b/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/serving/FirstFreeServer.kt
@@ -0,0 +1,18 @@
+package org.yuccajunction.entry.serving
+
+import org.yuccajunction.model.RefusalReason
+import org.yuccajunction.routing.Choice
+import org.yuccajunction.routing.ServerChooser
+import org.yuccajunction.routing.ServerState
+import kotlin.time.Duration.Companion.seconds
+
+/** Takes the first server with a permit left, so that tests of serving depend on no policy. */
+internal val firstFreeServer =
+    ServerChooser { query, table, openRequests, _ ->
+        val servers = table.services[query.service]?.servers.orEmpty()
+        servers
+            .filter { it.state != ServerState.LEAVING && it.id !in query.avoid }
+            .firstOrNull { openRequests.tryAcquire(it.id, it.permits) }
+            ?.let { Choice.Use(it) }
+            ?: Choice.Refuse(RefusalReason.NO_CAPACITY, 1.seconds, "no permit left")
+    }
