--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/StreamMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/StreamMachine.kt
@@ -72,7 +72,8 @@
         accepted = true
         tokens += 1
         attempts.current?.progress(now)
-        return listOf(RequestCommand.Forward(event.offset, event.text))
+        val forward = listOf(RequestCommand.Forward(event.offset, event.text))
+        return if (tokens < request.tokenLimit) forward else forward + endAtLimit(event.attempt)
     }
 
     private fun complete(event: RequestEvent.StreamCompleted, now: MonotonicTime): List<RequestCommand> {
@@ -82,6 +83,11 @@
         return listOf(observe, end(Ending.Completed, event.finishReason))
     }
 
+    private fun endAtLimit(attempt: Int): List<RequestCommand> {
+        val observe = attempts.finish(AttemptResult.COMPLETED)
+        return listOf(RequestCommand.Cancel(attempt), observe, end(Ending.Completed, LENGTH_REASON))
+    }
+
     private fun fail(event: RequestEvent.Failed, now: MonotonicTime): List<RequestCommand> {
         lastFailure = event
         if (event.status >= SERVER_ERROR) return goOn(AttemptResult.FAILED, now)
@@ -195,6 +201,7 @@
     }
 
     private companion object {
+        const val LENGTH_REASON = "length"
         const val ATTEMPT_LIMIT = 12
         const val SERVER_ERROR = 500
         const val BAD_GATEWAY = 502
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/StreamRequest.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/traffic/StreamRequest.kt
@@ -13,6 +13,7 @@
  * @property promptTokens estimated length of the prompt
  * @property generatedTokens tokens that the caller or a former entry holds already
  * @property deadline when the caller no longer wants the answer, null where it did not say
+ * @property tokenLimit length at which the answer is ended
  */
 public data class StreamRequest(
     public val requestId: RequestId,
@@ -24,4 +25,5 @@
     public val promptTokens: Int,
     public val generatedTokens: Int = 0,
     public val deadline: MonotonicTime? = null,
+    public val tokenLimit: Int = Int.MAX_VALUE,
 )
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/traffic/StreamMachineTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/traffic/StreamMachineTest.kt
@@ -126,6 +126,15 @@
         assertTrue(commands.any { it is RequestCommand.Dispatch })
     }
 
+    @Test
+    fun `an answer ends at its limit of tokens`() {
+        val short = fixture.stream(tokenLimit = 1)
+        short.handle(RequestEvent.Arrived, now)
+        val commands = short.handle(token(1, 0, "a"), now)
+        assertEquals(RequestCommand.End(Ending.Completed, "length"), commands.last())
+        assertTrue(RequestCommand.Cancel(1) in commands)
+    }
+
     @Test
     fun `a deadline ends the request`() {
         val short = fixture.stream(deadline = now + 1.seconds)
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/traffic/TrafficFixture.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/traffic/TrafficFixture.kt
@@ -39,9 +39,9 @@
         )
     private val id = RequestId(EntryIncarnation(InstanceId("entry-1"), 1), 0, "r")
 
-    fun stream(deadline: MonotonicTime? = null) =
+    fun stream(deadline: MonotonicTime? = null, tokenLimit: Int = Int.MAX_VALUE) =
         StreamMachine(
-            StreamRequest(id, WORKSPACE, RequestClass.DRAFT, SERVICE, "route", 0, 10, 0, deadline),
+            StreamRequest(id, WORKSPACE, RequestClass.DRAFT, SERVICE, "route", 0, 10, 0, deadline, tokenLimit),
             environment,
         )
 
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionHandler.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CompletionHandler.kt
@@ -80,6 +80,7 @@
                 promptTokens = body.promptTokens,
                 generatedTokens = next,
                 deadline = state.context.clock() + minOf(time, state.context.limits.requestTime),
+                tokenLimit = state.context.limits.streamTokens,
             )
         return HeldStream(request, body.fields, body.heldText, next, emptyList(), state.context.clock)
     }
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingLimits.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/ServingLimits.kt
@@ -12,6 +12,7 @@
  * @property headerBytes longest header section of a request
  * @property openRequests requests that the entry holds open at once
  * @property unansweredRequests requests that the entry reads and answers at once, repeated ones included
+ * @property streamTokens length at which a model's answer is ended, with the finish reason `length`
  * @property requestTime longest life of one request
  * @property resumeGrace how long a stream goes on after its caller's connection broke
  * @property records bounds on the at-most-once records
@@ -21,6 +22,7 @@
     public val headerBytes: Int = 16_384,
     public val openRequests: Int = 1_024,
     public val unansweredRequests: Int = 4_096,
+    public val streamTokens: Int = 32_768,
     public val requestTime: Duration = 10.minutes,
     public val resumeGrace: Duration = 15.seconds,
     public val records: RecordLimits = RecordLimits(),
--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/StreamLauncher.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/StreamLauncher.kt
@@ -32,6 +32,7 @@
                 promptTokens = body.promptTokens,
                 generatedTokens = handed.baseTokens + handed.tokens.size,
                 deadline = state.context.clock() + state.context.limits.requestTime,
+                tokenLimit = state.context.limits.streamTokens,
             )
         val context = state.context
         val stream =
