Keep the HTTP server from ending open requests on SIGTERM

Cause: the server library stops itself in a shutdown hook of its own, at the same moment as the entry begins its graceful shutdown. Found by reading the library's classes while GracefulShutdownIT waited to be run; not seen to fail by a run. Change: the library's property for that hook is set before the server starts.

--- a/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallerServer.kt
+++ b/yuccajunction-entry/src/main/kotlin/org/yuccajunction/entry/serving/CallerServer.kt
@@ -47,6 +47,7 @@
 
     /** Begins to listen; fails where the endpoint is taken. */
     public fun start() {
+        System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false")
         server.start(wait = false)
         scope.launch { dropUnreadStreams() }
     }
@@ -109,6 +110,8 @@
     }
 
     private companion object {
+        /** The server's own hook would end open requests as soon as the process is asked to end. */
+        const val SHUTDOWN_HOOK_PROPERTY = "io.ktor.server.engine.ShutdownHook"
         const val CONNECTION_THREADS = 1
         const val WORKER_THREADS = 2
         const val CALL_THREADS = 4
