--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RolloutController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/RolloutController.kt
@@ -27,8 +27,8 @@
  * Moves versions by evidence.
  *
  * Every entry compares the versions in its own traffic and vetoes a bad one for itself at once; vetoes and counts
- * travel with heartbeats. The holder of the lease [LEASE] raises the share or takes the move back, and writes the
- * status that all entries follow. Without the object API shares stay as they are and vetoes go on working.
+ * travel with heartbeats. The holder of the lease [LeaseNames.ROLLOUT] raises the share or takes the move back, and
+ * writes the status that all entries follow. Without the object API shares stay as they are and vetoes go on working.
  */
 public class RolloutController : Controller {
     override fun handle(board: Blackboard, event: ControlEvent, random: Random): ControlStep =
@@ -55,7 +55,7 @@
             step.and(judged(step.board, move))
         }
         val watched = judged.and(StatusObjects.watch(judged.board, random))
-        val fencing = watched.board.leases.fencingNumber(LEASE, board.now) ?: return watched
+        val fencing = watched.board.leases.fencingNumber(LeaseNames.ROLLOUT, board.now) ?: return watched
         return board.deployment.versions.fold(watched) { step, move -> step.and(advanced(step.board, move, fencing)) }
     }
 
@@ -225,11 +225,9 @@
 
     private fun ControlStep.and(later: ControlStep) = ControlStep(later.board, commands.addAll(later.commands))
 
-    public companion object {
-        /** Name of the lease under which moves are decided. */
-        public const val LEASE: String = "rollout"
-        private const val REFRESH_SECONDS = 10L
-        private const val MOST_ROUTES = 64
-        private val ANNOUNCEMENT_INTERVAL = 1.seconds
+    private companion object {
+        const val REFRESH_SECONDS = 10L
+        const val MOST_ROUTES = 64
+        val ANNOUNCEMENT_INTERVAL = 1.seconds
     }
 }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/ServiceModel.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/ServiceModel.kt
@@ -63,7 +63,7 @@
                 if (index ==
                     1
                 ) {
-                    board.holding(RolloutController.LEASE)
+                    board.holding(LeaseNames.ROLLOUT)
                 } else {
                     board
                 },
--- a/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/serving/ServingFixture.kt
+++ b/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/serving/ServingFixture.kt
@@ -45,12 +45,12 @@
 import org.yuccajunction.record.RecordAnswer
 import org.yuccajunction.routing.EntryAddress
 import org.yuccajunction.routing.HomeAddress
+import org.yuccajunction.routing.LoadBoundedServerChooser
 import org.yuccajunction.routing.OpenRequests
 import org.yuccajunction.routing.RoutingTable
 import org.yuccajunction.routing.ServerRoute
 import org.yuccajunction.routing.ServerState
 import org.yuccajunction.routing.ServiceRoute
-import org.yuccajunction.routing.LoadBoundedServerChooser
 import java.net.ServerSocket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
