--- a/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/serving/ServingFixture.kt
+++ b/yuccajunction-entry/src/test/kotlin/org/yuccajunction/entry/serving/ServingFixture.kt
@@ -45,6 +45,7 @@
 import org.yuccajunction.record.RecordAnswer
 import org.yuccajunction.routing.EntryAddress
 import org.yuccajunction.routing.HomeAddress
+import org.yuccajunction.routing.LoadBoundedServerChooser
 import org.yuccajunction.routing.OpenRequests
 import org.yuccajunction.routing.RoutingTable
 import org.yuccajunction.routing.ServerRoute
