--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/PlacementInputs.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/PlacementInputs.kt
@@ -3,7 +3,6 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.toPersistentSet
 import org.yuccajunction.document.Deployment
-import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.InstanceId
 import org.yuccajunction.model.InstanceRole
 import org.yuccajunction.model.PlatformInstance
@@ -19,21 +18,18 @@
  * @property entries every entry that may send requests
  * @property instances the platform's list, compared by identity
  * @property limits what the servers of each service bear
- * @property drained backend servers that operators drain
  */
 public class PlacementInputs(
     public val entries: PersistentSet<InstanceId>,
     public val instances: Collection<PlatformInstance>,
     public val limits: Map<ServiceName, ServerLimits>,
-    public val drained: List<BackendServerId>,
 ) {
     /** Returns whether a division by [other] gives the same. */
     public fun isSameAs(other: PlacementInputs?): Boolean =
         other != null &&
             instances === other.instances &&
             entries == other.entries &&
-            limits == other.limits &&
-            drained == other.drained
+            limits == other.limits
 
     public companion object {
         /** Returns what a division of [instances] depends on in the state of [board]. */
@@ -42,7 +38,6 @@
                 entries = entries(board, instances),
                 instances = instances,
                 limits = limits(board.deployment),
-                drained = board.deployment.trafficRules.drainedBackendServers,
             )
 
         /** Returns the entries listed, whether heard of or not, and those heard of that the list lags behind. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
@@ -8,6 +8,7 @@
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.PlatformInstance
 import org.yuccajunction.routing.AttemptObservation
+import org.yuccajunction.routing.LeavingSigns
 import org.yuccajunction.routing.ServerRecord
 import org.yuccajunction.routing.ServerShare
 import org.yuccajunction.routing.ServerStates
@@ -66,13 +67,15 @@
     private fun poll(board: Blackboard, random: Random): ControlStep {
         val commands = persistentListOf<ControlCommand>().builder()
         val cutOff = board.membership.isIsolated(board.now, ServerShare.ISOLATION_TIMEOUT)
+        val drained = board.deployment.trafficRules.drainedBackendServers.toSet()
         val servers =
             board.servers.mutate { records ->
                 board.servers.forEach { (id, record) ->
                     val due = record.pollAt <= board.now
                     if (due) commands += ControlCommand.PollServer(id, record.endpoint)
                     val pollAt = if (due) board.now + pollInterval(random) else record.pollAt
-                    val next = refreshed(board, record.copy(pollAt = pollAt), cutOff)
+                    val signs = record.signs.copy(drained = id in drained)
+                    val next = refreshed(board, record.copy(pollAt = pollAt), signs, cutOff)
                     if (next != record) records[id] = next
                 }
             }
@@ -80,10 +83,15 @@
     }
 
     /** Returns [record] with what may be used now; an entry that is cut off may have lost its cold starts to others. */
-    private fun refreshed(board: Blackboard, record: ServerRecord, cutOff: Boolean): ServerRecord {
+    private fun refreshed(
+        board: Blackboard,
+        record: ServerRecord,
+        signs: LeavingSigns,
+        cutOff: Boolean,
+    ): ServerRecord {
         val usable = record.share.usable(board.now)
         val settled = record.copy(usable = if (cutOff) usable.copy(cold = 0) else usable)
-        return ServerStates.announced(settled, settled.signs, board.now)
+        return ServerStates.announced(settled, signs, board.now)
     }
 
     private fun pollInterval(random: Random): Duration =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerPlacements.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerPlacements.kt
@@ -88,9 +88,7 @@
                 usable = share.usable(board.now),
                 borrowed = borrowed,
             )
-        val drained = instance.serverId() in board.deployment.trafficRules.drainedBackendServers
-        val signs = placed.signs.copy(listed = instance.leaving, drained = drained)
-        return ServerStates.announced(placed, signs, board.now)
+        return ServerStates.announced(placed, placed.signs.copy(listed = instance.leaving), board.now)
     }
 }
 
