Let the drain test give the platform's list that placement reads

Change: the test gives the list and the model; what it expects is the same. It fails when the placement ignores the drain.

--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/DrainTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/control/DrainTest.kt
@@ -1,7 +1,9 @@
 package org.yuccajunction.control
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.yuccajunction.document.Deployment
+import org.yuccajunction.document.ModelSection
 import org.yuccajunction.document.TrafficRules
 import org.yuccajunction.membership.EntryState
 import org.yuccajunction.membership.MembershipState
@@ -15,6 +17,8 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.PlatformInstance
 import org.yuccajunction.model.Revision
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.ServiceVersion
 import org.yuccajunction.routing.ServerRecord
 import org.yuccajunction.routing.ServerState
 import kotlin.random.Random
@@ -28,7 +32,7 @@
     fun `a drained backend server is leaving at the next tick and starts cold when it returns`() {
         val drained = tick(board(TrafficRules(drainedBackendServers = listOf(server))))
         assertEquals(ServerState.LEAVING, drained.servers.getValue(server).state)
-        val returned = tick(drained.copy(deployment = Deployment(Revision(2))))
+        val returned = tick(drained.copy(deployment = deployment(TrafficRules())))
         assertEquals(ServerState.COLD, returned.servers.getValue(server).state)
     }
 
@@ -45,19 +49,29 @@
 
     private fun board(rules: TrafficRules): Blackboard {
         val peer = entry("entry-2")
-        val instance =
-            PlatformInstance(InstanceId("server-1"), InstanceRole.BACKEND_SERVER, zone, Endpoint("10.0.0.9", 1))
+        val instance = PlatformInstance(
+            id = InstanceId("server-1"),
+            role = InstanceRole.BACKEND_SERVER,
+            availabilityZone = zone,
+            endpoint = Endpoint("10.0.0.9", 1),
+            service = model.name,
+            version = model.version,
+        )
         return Blackboard(
             now = MonotonicTime.ZERO,
             membership = MembershipState(
                 entry("entry-1"),
                 persistentMapOf(peer.entry.instance to PeerRecord(peer, MonotonicTime.ZERO)),
+                listed = persistentListOf(instance),
             ),
-            deployment = Deployment(Revision(1), trafficRules = rules),
+            deployment = deployment(rules),
             servers = persistentMapOf(server to ServerRecord(instance, ServerState.READY, MonotonicTime.ZERO)),
         )
     }
 
+    private fun deployment(rules: TrafficRules) =
+        Deployment(Revision(1), models = listOf(model), trafficRules = rules)
+
     private fun entry(id: String) =
         EntryState(
             entry = EntryIncarnation(InstanceId(id), 1),
@@ -70,5 +84,6 @@
 
     private companion object {
         val zone = AvailabilityZone("a")
+        val model = ModelSection(ServiceName("talker"), ServiceVersion("v1"), replicas = 1, requestLimit = 4)
     }
 }
