--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/membership/MembershipState.kt
@@ -83,11 +83,15 @@
         return now - heardAt >= timeout
     }
 
-    /** Returns this state after the entry changed its own state in a way that others must know at once. */
+    /**
+     * Returns this state after the entry changed its own state in a way that others must know at once.
+     *
+     * The next round of heartbeats is due at once.
+     */
     public fun announcing(now: MonotonicTime, change: (EntryState) -> EntryState): MembershipState {
         val changed = change(self)
         if (changed == self) return this
-        return withBeat(changed, self.beat + 1, now)
+        return withBeat(changed, self.beat + 1, now).copy(nextBeatAt = null)
     }
 
     /** Returns this state with [state] told to others under [beat]. */
