--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ServerController.kt
@@ -83,7 +83,8 @@
     private fun refreshed(board: Blackboard, record: ServerRecord, cutOff: Boolean): ServerRecord {
         val usable = record.share.usable(board.now)
         val settled = record.copy(usable = if (cutOff) usable.copy(cold = 0) else usable)
-        return ServerStates.announced(settled, settled.signs, board.now)
+        val drained = record.instance.serverId() in board.deployment.trafficRules.drainedBackendServers
+        return ServerStates.announced(settled, settled.signs.copy(drained = drained), board.now)
     }
 
     private fun pollInterval(random: Random): Duration =
