--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/FaultSchedule.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/FaultSchedule.kt
@@ -117,7 +117,7 @@
         when (fault.kind) {
             FaultKind.ENTRY_FREEZE -> {
                 entry.process.freeze()
-                return { entry.process.resume() }
+                return { if (entry.process.isAlive) entry.process.resume() }
             }
             FaultKind.ENTRY_PEERS_CUT_OFF -> {
                 checkNotNull(entry.peerRoute).partition()
