--- a/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/ControlSlopes.kt
+++ b/yuccajunction-load/src/main/kotlin/org/yuccajunction/load/slope/ControlSlopes.kt
@@ -1,7 +1,10 @@
 package org.yuccajunction.load.slope
 
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.protobuf.ProtoBuf
 import org.yuccajunction.control.Blackboard
 import org.yuccajunction.control.ConfigurationController
@@ -16,6 +19,7 @@
 import org.yuccajunction.membership.Heartbeat
 import org.yuccajunction.membership.Rumour
 import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.PlatformInstance
 import org.yuccajunction.model.RequestClass
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
@@ -43,6 +47,7 @@
             tick(size, running),
             heartbeat(size, fleet, running),
             listing(size, fleet, running),
+            changedListing(size, fleet, running),
             table(size, running),
             choice(size, running),
             deployment(size, fleet, running),
@@ -73,8 +78,20 @@
     }
 
     private fun listing(size: FleetSize, fleet: SampleFleet, running: RunningBoard): SlopePoint {
-        val micros = median { running.after(TICK, ControlEvent.InstancesListed(fleet.instances)) }
-        return SlopePoint("instance list read", size.servers, micros, running.heapBytes())
+        val readAgain = fleet.instances.map { it.copy() }.toPersistentList()
+        val micros = median { running.after(TICK, ControlEvent.InstancesListed(readAgain)) }
+        return SlopePoint("unchanged instance list (bytes: as JSON)", size.servers, micros, sizeOf(fleet.instances))
+    }
+
+    private fun changedListing(size: FleetSize, fleet: SampleFleet, running: RunningBoard): SlopePoint {
+        var leaving = false
+        val micros = median {
+            leaving = !leaving
+            val changed = fleet.instances.last().copy(leaving = leaving)
+            val list = fleet.instances.set(fleet.instances.lastIndex, changed)
+            running.after(TICK, ControlEvent.InstancesListed(list))
+        }
+        return SlopePoint("changed instance list (bytes: heap in use)", size.servers, micros, running.heapBytes())
     }
 
     private fun table(size: FleetSize, running: RunningBoard): SlopePoint =
@@ -103,7 +120,8 @@
                     promptTokens = PROMPT_TOKENS,
                 )
             val chosen = chooser.choose(query, table, openRequests, random)
-            if (chosen is Choice.Use) openRequests.release(chosen.server.id)
+            check(chosen is Choice.Use) { "no server was chosen: $chosen" }
+            openRequests.release(chosen.server.id)
         }
         return SlopePoint("backend server chosen", size.servers, micros)
     }
@@ -132,6 +150,9 @@
     private fun sizeOf(heartbeat: Heartbeat): Long =
         ProtoBuf.encodeToByteArray(Heartbeat.serializer(), heartbeat).size.toLong()
 
+    private fun sizeOf(instances: List<PlatformInstance>): Long =
+        Json.encodeToString(ListSerializer(PlatformInstance.serializer()), instances).length.toLong()
+
     private companion object {
         val TICK = 100.milliseconds
         const val TICKS_PER_SECOND = 10
@@ -164,8 +185,7 @@
         for (number in 1 until fleet.instances.count { it.peerEndpoint != null }) {
             after(0.seconds, ControlEvent.HeartbeatReceived(Heartbeat(fleet.entryState(number), Revision(1))))
         }
-        after(SETTLED, ControlEvent.Ticked)
-        board.servers.keys.forEach { after(0.seconds, ControlEvent.ServerReported(it, fleet.report())) }
+        repeat(SETTLING_ROUNDS) { settle(fleet) }
     }
 
     val board: Blackboard get() = state.board
@@ -177,6 +197,12 @@
         return state.handle(event, now)
     }
 
+    private fun settle(fleet: SampleFleet) {
+        after(1.seconds, ControlEvent.InstancesListed(fleet.instances))
+        after(0.seconds, ControlEvent.Ticked)
+        board.servers.keys.forEach { after(0.seconds, ControlEvent.ServerReported(it, fleet.report())) }
+    }
+
     fun makeTable() {
         check(routingTable(board).services.isNotEmpty()) { "the routing table names no service" }
     }
@@ -189,6 +215,7 @@
     }
 
     private companion object {
-        val SETTLED = 10.seconds
+        /** Rounds of one second after which shares have settled and servers are past their cold start. */
+        const val SETTLING_ROUNDS = 20
     }
 }
