Give the shutdown test servers that bear its streams, and say why a stream did not arrive

The outcomes of the streams, now in the message, show truthful refusals: one workspace asked one entry for 8 of 6 permits. Ruled out: the shutdown itself, which had not begun; streams that were cut off. Change: the deployment of the test states a limit of 32 requests a server; all 8 streams must still be accepted and whole.

--- a/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/GracefulShutdownIT.kt
+++ b/yuccajunction-integration-test/src/test/kotlin/org/yuccajunction/integration/GracefulShutdownIT.kt
@@ -4,6 +4,7 @@
 import org.yuccajunction.testing.ExpectedAnswer
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
+import java.util.concurrent.Future
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -16,7 +17,10 @@
         entries(3)
         shutdownNoticeSeconds = 8
         addressAnswerSeconds = 1
-        model("talker-llm", replicas = 3) { settings = settings.copy(tokenMillis = 20.0) }
+        model("talker-llm", replicas = 3) {
+            requestLimit = 32
+            settings = settings.copy(tokenMillis = 20.0)
+        }
         application("order-desk", replicas = 2)
     }
     private val caller = TestCaller(running.key)
@@ -33,17 +37,12 @@
         val leaving = running.entries[0]
         val streams = List(8) { number ->
             threads.submit(
-                Callable {
-                    wholeDraft(
-                        leaving,
-                        number,
-                        tokens =
-                        40 + 60 * number,
-                    )
-                },
+                Callable { wholeDraft(leaving, number, tokens = 40 + 60 * number) },
             )
         }
-        eventually(5.seconds, { "no stream arrived" }) { running.models.sumOf { it.ledger().rows.size } >= 8 }
+        eventually(5.seconds, { "not every stream arrived: ${endedEarly(streams)}" }) {
+            running.models.sumOf { it.ledger().rows.size } >= 8
+        }
         val keepMillis = leaving.keepSeconds() * 1_000
         leaving.process.terminate()
         val until = System.currentTimeMillis() + keepMillis
@@ -72,6 +71,10 @@
         streams.forEach { it.get() }
     }
 
+    /** Returns why those of [streams] that have ended already did so. */
+    private fun endedEarly(streams: List<Future<Int>>): List<String> =
+        streams.filter { it.isDone }.map { stream -> runCatching { stream.get() }.toString() }
+
     /** Follows one stream to its end over every entry that it is moved to; returns how often it was moved. */
     private fun wholeDraft(entry: EntryHandle, number: Int, tokens: Int): Int {
         val order = DraftOrder("Draft a talker for figs, number $number", tokens)
