--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlState.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/ControlState.kt
@@ -1,7 +1,6 @@
 package org.yuccajunction.control
 
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.yuccajunction.model.MonotonicTime
 import kotlin.random.Random
@@ -31,9 +30,4 @@
         board = step.board
         return step.commands
     }
-
-    public companion object {
-        /** A state without controllers, for tests of single ones. */
-        public fun idle(initial: Blackboard): ControlState = ControlState(initial, persistentListOf(), Random(0))
-    }
 }
