--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/allowance/WorkspaceAllowances.kt
@@ -0,0 +1,131 @@
+package org.yuccajunction.allowance
+
+import org.yuccajunction.forward.WorkspacePolicy
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.WorkspaceId
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/**
+ * Keeps each workspace within its allowance over all entries together.
+ *
+ * Entries tell each other how much they have admitted. Between two messages of a peer, its former rate is taken to go
+ * on. A request is admitted while the estimated allowance of all entries is not used up; when little is left, this
+ * entry also keeps to its own part, weighted by demand. Confined to the traffic thread.
+ */
+public class WorkspaceAllowances {
+    private val meters = HashMap<WorkspaceId, WorkspaceMeter>()
+    private var entries = 1
+
+    /** Takes [charge] out of the allowance of [policy]; returns false where it is used up. */
+    public fun take(policy: WorkspacePolicy, charge: Double, now: MonotonicTime): Boolean {
+        if (policy.ratePerSecond <= 0.0) return true
+        return meter(policy, now).take(policy, charge, entries, now)
+    }
+
+    /** Gives back what was taken for a request that did not run. */
+    public fun giveBack(policy: WorkspacePolicy, charge: Double) {
+        meters[policy.id]?.giveBack(charge)
+    }
+
+    /** Returns what this entry has admitted so far, by workspace. */
+    public fun admitted(): Map<WorkspaceId, Double> = meters.mapValues { it.value.admitted }
+
+    /** The entry [peer] told in the run [run] that it has admitted [admitted] so far; [entries] are alive. */
+    public fun told(peer: String, run: Long, admitted: Map<WorkspaceId, Double>, entries: Int, now: MonotonicTime) {
+        this.entries = maxOf(1, entries)
+        for ((workspace, amount) in admitted) {
+            meters.getOrPut(workspace) { WorkspaceMeter(now) }.told(peer, run, amount, now)
+        }
+    }
+
+    private fun meter(policy: WorkspacePolicy, now: MonotonicTime): WorkspaceMeter =
+        meters.getOrPut(policy.id) { WorkspaceMeter(now) }
+}
+
+/** The allowance of one workspace as this entry estimates it. */
+private class WorkspaceMeter(private var refilledAt: MonotonicTime) {
+    private var level: Double? = null
+    private var ownLevel = 0.0
+    private var ownDemand = 0.0
+    private val peers = HashMap<String, PeerSpending>()
+
+    var admitted = 0.0
+        private set
+
+    fun take(policy: WorkspacePolicy, charge: Double, entries: Int, now: MonotonicTime): Boolean {
+        refill(policy, entries, now)
+        ownDemand += charge
+        val left = (level ?: 0.0) - peers.values.sumOf { it.unseen(now) }
+        val isScarce = left < policy.burst * SCARCE_SHARE
+        if (left <= 0.0 || isScarce && ownLevel <= 0.0) return false
+        level = (level ?: 0.0) - charge
+        ownLevel -= charge
+        admitted += charge
+        return true
+    }
+
+    fun giveBack(charge: Double) {
+        level = (level ?: 0.0) + charge
+        ownLevel += charge
+        admitted -= charge
+    }
+
+    fun told(peer: String, run: Long, amount: Double, now: MonotonicTime) {
+        val spent = peers.getOrPut(peer) { PeerSpending(run, amount, now) }.told(run, amount, now)
+        level = level?.minus(spent)
+    }
+
+    private fun refill(policy: WorkspacePolicy, entries: Int, now: MonotonicTime) {
+        val seconds = (now - refilledAt).toDouble(DurationUnit.SECONDS)
+        refilledAt = now
+        val known = level ?: (policy.burst * INITIAL_SHARE)
+        level = minOf(policy.burst, known + seconds * policy.ratePerSecond)
+        ownDemand *= maxOf(0.0, 1.0 - seconds / DEMAND_SECONDS)
+        val share = share(entries, now)
+        ownLevel = minOf(policy.burst * share, ownLevel + seconds * policy.ratePerSecond * share)
+    }
+
+    private fun share(entries: Int, now: MonotonicTime): Double {
+        val own = ownDemand / DEMAND_SECONDS + 1.0
+        val all = own + peers.values.sumOf { it.rate(now) + 1.0 }
+        return maxOf(own / all, MIN_SHARE / entries)
+    }
+
+    private companion object {
+        const val SCARCE_SHARE = 0.4
+        const val INITIAL_SHARE = 0.4
+        const val DEMAND_SECONDS = 2.0
+        const val MIN_SHARE = 0.3
+    }
+}
+
+/** What one peer has told of its spending. */
+private class PeerSpending(private var run: Long, private var total: Double, private var toldAt: MonotonicTime) {
+    private var ratePerSecond = 0.0
+
+    /** Returns what the peer spent since it last told. */
+    fun told(run: Long, amount: Double, now: MonotonicTime): Double {
+        val spent = if (run == this.run) maxOf(0.0, amount - total) else amount
+        if (run < this.run) return 0.0
+        val seconds = (now - toldAt).toDouble(DurationUnit.SECONDS)
+        if (seconds > 0.0) ratePerSecond += (spent / seconds - ratePerSecond) * SMOOTHING
+        this.run = run
+        total = amount
+        toldAt = now
+        return spent
+    }
+
+    fun rate(now: MonotonicTime): Double = if (now - toldAt > MEMORY) 0.0 else ratePerSecond
+
+    /** Returns what the peer is taken to have spent since it last told. */
+    fun unseen(now: MonotonicTime): Double {
+        val age = minOf(now - toldAt, MEMORY)
+        return age.toDouble(DurationUnit.SECONDS) * ratePerSecond
+    }
+
+    private companion object {
+        const val SMOOTHING = 0.6
+        val MEMORY = 3.seconds
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ColdStartGate.kt
@@ -0,0 +1,61 @@
+package org.yuccajunction.fleet
+
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.routing.RendezvousHash
+import kotlin.time.DurationUnit
+
+/**
+ * Divides what a cold server bears between a few entries, so that the sum over all entries stays within it.
+ *
+ * Every entry ranks the live entries alike for each server; only the first [OWNERS] of them may use it while it is
+ * cold, each for an equal part of the rate and one request at a time.
+ */
+public class ColdStartGate(private val entry: String) {
+    private val buckets = HashMap<String, Bucket>()
+
+    /** Returns whether [server] may get a request at [now], without taking it. */
+    public fun isOpen(
+        server: BackendServer,
+        ratePerSecond: Double,
+        entries: List<String>,
+        now: MonotonicTime,
+    ): Boolean {
+        if (ratePerSecond <= 0.0 || !server.isCold(now)) return true
+        val owners = minOf(OWNERS, maxOf(1, entries.size))
+        if (rank(server, entries) >= owners) return false
+        val bucket = buckets.getOrPut(server.id.value) { Bucket(now) }
+        bucket.refill(ratePerSecond / owners, now)
+        return bucket.level >= 1.0
+    }
+
+    /** Records that [server] got a request. */
+    public fun take(server: BackendServer) {
+        buckets[server.id.value]?.let { it.level -= 1.0 }
+    }
+
+    /** Forgets servers other than [known]. */
+    public fun retain(known: Set<String>) {
+        buckets.keys.retainAll(known)
+    }
+
+    private fun rank(server: BackendServer, entries: List<String>): Int {
+        val key = RendezvousHash.hash(server.id.value)
+        val own = RendezvousHash.score(RendezvousHash.hash(entry), key)
+        return entries.count { it != entry && RendezvousHash.score(RendezvousHash.hash(it), key) > own }
+    }
+
+    private class Bucket(private var refilledAt: MonotonicTime) {
+        var level = 1.0
+
+        fun refill(ratePerSecond: Double, now: MonotonicTime) {
+            val seconds = (now - refilledAt).toDouble(DurationUnit.SECONDS)
+            level = minOf(1.0, level + seconds * ratePerSecond)
+            refilledAt = now
+        }
+    }
+
+    public companion object {
+        /** Entries that share a cold server. */
+        public const val OWNERS: Int = 3
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
@@ -0,0 +1,58 @@
+package org.yuccajunction.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import org.yuccajunction.forward.AttemptEnd
+
+/** Reads one answer of a backend server and decides whether it can be passed on. */
+internal class AnswerReader(
+    private val attempt: ServerAttempt,
+    private val response: HttpResponse,
+    private val head: AnswerHead,
+) {
+    private val exchange = attempt.exchange
+    private val isSound = head.isSound(exchange.request.id)
+    private val isStream = isSound && head.isSuccess && exchange.request.route.isStream
+    private val splitter = if (isStream) EventSplitter() else null
+    private val body: ByteBuf = Unpooled.buffer(0)
+
+    /** Whether only the end of the connection ends the answer. */
+    val isUnframed: Boolean =
+        exchange.method != HttpMethod.HEAD &&
+            !HttpUtil.isTransferEncodingChunked(response) &&
+            !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
+            response.status().code() !in BODILESS
+
+    /** Takes [content] in; returns false where the answer can't be used. */
+    fun add(content: ByteBuf): Boolean {
+        if (splitter == null) return addToBody(content)
+        splitter.add(content) { event -> exchange.streamEvent(attempt, response, event) }
+        return !splitter.isOverflown
+    }
+
+    private fun addToBody(content: ByteBuf): Boolean {
+        if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) return false
+        body.writeBytes(content)
+        return true
+    }
+
+    /** The answer is whole by its framing. */
+    fun finish() {
+        when {
+            head.isMisplaced -> attempt.end(AttemptEnd.MISPLACED)
+            head.isNotRun -> attempt.end(AttemptEnd.REJECTED)
+            !isSound || splitter?.hasPartialEvent == true -> attempt.end(AttemptEnd.INVALID)
+            isStream -> exchange.streamCompleted(attempt, response)
+            else -> exchange.answered(attempt, HeldAnswer(response.status(), response.headers(), body))
+        }
+    }
+
+    private companion object {
+        const val MAX_BODY_BYTES = 8 * 1_048_576
+        val BODILESS = setOf(204, 304)
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Control.kt
@@ -0,0 +1,218 @@
+package org.yuccajunction.gateway
+
+import arrow.core.Either
+import io.netty.channel.EventLoop
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.yuccajunction.control.LogEvent
+import org.yuccajunction.fleet.FleetTable
+import org.yuccajunction.fleet.ServerList
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.port.FleetSource
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.StoredObject
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Follows the platform's store and publishes what this entry believes to the traffic thread.
+ *
+ * Confined to the control thread.
+ */
+internal class Control(
+    private val traffic: Traffic,
+    private val store: ObjectStore,
+    private val source: FleetSource,
+    private val log: DecisionLog,
+) {
+    private val health = StoreHealth(log)
+    private val clock = SuspensionAwareClock()
+    private val servers = ServerList()
+    private val drained = HashSet<AvailabilityZone>()
+
+    var table = FleetTable()
+        private set
+
+    val isStoreUp: Boolean get() = health.isUp.value
+
+    fun start(scope: CoroutineScope, loop: EventLoop) {
+        scope.launch { configurationFollower().run() }
+        scope.launch { serverFollower().run() }
+        scope.launch { drainFollower().run() }
+        scope.launch { watchHealth() }
+        scope.launch { housekeep() }
+        check(loop.inEventLoop() || !loop.isShuttingDown) { "the control loop is shut down" }
+    }
+
+    private fun configurationFollower() =
+        StoreFollower(
+            store = store,
+            health = health,
+            log = log,
+            clock = clock,
+            kind = source.configurationKind,
+            wait = CONFIGURATION_WAIT,
+            isProbe = true,
+            listed = ::configurationsChanged,
+            changed = ::configurationsChanged,
+            confirmed = traffic::confirmed,
+        )
+
+    private fun serverFollower() =
+        StoreFollower(
+            store = store,
+            health = health,
+            log = log,
+            clock = clock,
+            kind = source.serverKind,
+            wait = LIST_WAIT,
+            listed = ::serversListed,
+            changed = ::serversChanged,
+        )
+
+    private fun drainFollower() =
+        StoreFollower(
+            store = store,
+            health = health,
+            log = log,
+            clock = clock,
+            kind = source.drainKind,
+            wait = LIST_WAIT,
+            listed = ::drainsListed,
+            changed = ::drainsChanged,
+        )
+
+    private fun configurationsChanged(objects: List<StoredObject>) {
+        for (stored in objects.filter { it.value != null }) {
+            val read = read(stored, source::configuration) ?: continue
+            val current = table.configuration
+            if (current != null && read.revision < current.revision) {
+                log.write(LogEvent.DEPLOYMENT_IGNORED) {
+                    field("revision", read.revision)
+                    field("current", current.revision)
+                }
+                continue
+            }
+            log.write(LogEvent.DEPLOYMENT_ACCEPTED) {
+                field("revision", read.revision)
+                field("routes", read.routes.size)
+            }
+            publish(table.copy(configuration = read))
+        }
+    }
+
+    private fun serversListed(objects: List<StoredObject>) {
+        val now = traffic.now()
+        servers.replace(objects.mapNotNull { stored -> read(stored) { source.server(it, now) } }, now)
+        publishServers()
+    }
+
+    private fun serversChanged(objects: List<StoredObject>) {
+        val now = traffic.now()
+        for (stored in objects) {
+            if (stored.value == null) {
+                val id = BackendServerId(stored.key.substringAfter('/'))
+                servers.removed(id, now)
+                log.write(LogEvent.SERVER_UNLISTED) { field("server", id) }
+            } else {
+                read(stored) { source.server(it, now) }?.let(servers::put)
+            }
+        }
+        publishServers()
+    }
+
+    private fun publishServers() {
+        if (table.servers == servers.servers) return
+        val changed = servers.servers.values.filter { table.servers[it.id] != it }
+        publish(table.copy(servers = servers.servers))
+        for (server in changed) {
+            log.write(LogEvent.SERVER_LISTED) {
+                field("server", server.id)
+                field("service", server.service)
+                field("zone", server.zone)
+                field("leaving", server.isLeaving)
+                field("cold", server.isCold(traffic.now()))
+            }
+        }
+    }
+
+    private fun drainsListed(objects: List<StoredObject>) {
+        drained.clear()
+        drainsChanged(objects)
+    }
+
+    private fun drainsChanged(objects: List<StoredObject>) {
+        for (stored in objects) {
+            val zone = read(stored, source::drainedZone) ?: continue
+            if (stored.value == null) drained -= zone else drained += zone
+        }
+        if (drained == table.drainedZones) return
+        log.write(LogEvent.ZONES_DRAINED) { field("zones", drained.joinToString(",")) }
+        publish(table.copy(drainedZones = drained.toPersistentSet()))
+    }
+
+    /** The live entries are now those with [names]. */
+    fun entriesChanged(names: List<String>) {
+        if (names == table.entries) return
+        log.write(LogEvent.ENTRIES_CHANGED) { field("entries", names.joinToString(",")) }
+        publish(table.copy(entries = names.toPersistentList()))
+    }
+
+    private fun <T : Any> read(stored: StoredObject, decode: (StoredObject) -> Either<String, T>): T? =
+        when (val decoded = decode(stored)) {
+            is Either.Right -> decoded.value
+            is Either.Left -> {
+                log.write(LogEvent.OBJECT_UNREADABLE) {
+                    field("key", stored.key)
+                    field("version", stored.version)
+                    field("detail", decoded.value)
+                }
+                null
+            }
+        }
+
+    private fun publish(table: FleetTable) {
+        this.table = table
+        traffic.loop.execute { traffic.update(table) }
+    }
+
+    private suspend fun watchHealth() {
+        while (true) {
+            health.awaitDown()
+            servers.storeLost()
+            health.awaitUp()
+            servers.storeReturned(traffic.now())
+        }
+    }
+
+    private suspend fun housekeep() {
+        while (true) {
+            delay(HOUSEKEEPING_INTERVAL)
+            if (servers.expire(traffic.now())) publishServers()
+            traffic.loop.execute(traffic::sweep)
+        }
+    }
+
+    /** Returns whether callers should be sent here. */
+    fun isReady(): Boolean {
+        val age = traffic.keyAge() ?: return false
+        val isServing = traffic.stoppingSince == null && table.configuration != null && table.servers.isNotEmpty()
+        return isServing && age < traffic.settings.bounds.keyLifetime * READY_SHARE
+    }
+
+    /** Reads the steady clock. */
+    fun now(): MonotonicTime = traffic.now()
+
+    private companion object {
+        val CONFIGURATION_WAIT: Duration = 1.seconds
+        val LIST_WAIT: Duration = 20.seconds
+        val HOUSEKEEPING_INTERVAL: Duration = 500.milliseconds
+        const val READY_SHARE = 0.7
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
@@ -0,0 +1,91 @@
+package org.yuccajunction.gateway
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import org.yuccajunction.forward.CallerLimits
+import org.yuccajunction.model.Endpoint
+
+/** Opens the listening sockets of an entry. */
+internal class Listeners(private val group: EventLoopGroup) {
+    /** Takes callers' requests at [endpoint]. */
+    fun callers(endpoint: Endpoint, traffic: Traffic): Channel =
+        listen(endpoint) { channel ->
+            val limits = traffic.table.configuration?.limits ?: CallerLimits()
+            val decoder =
+                HttpDecoderConfig()
+                    .setMaxInitialLineLength(limits.headerBytes)
+                    .setMaxHeaderSize(limits.headerBytes)
+            channel.pipeline().addLast(
+                HttpRequestDecoder(decoder),
+                HttpResponseEncoder(),
+                CallerConnection(traffic, limits),
+            )
+        }
+
+    /** Answers short questions at [endpoint] by [answer], a function of the path with its query. */
+    fun small(endpoint: Endpoint, answer: (uri: String) -> SmallAnswer): Channel =
+        listen(endpoint) { channel ->
+            channel.pipeline().addLast(
+                HttpServerCodec(),
+                HttpObjectAggregator(MAX_SMALL_BYTES),
+                SmallAnswerHandler(answer),
+            )
+        }
+
+    private fun listen(endpoint: Endpoint, initialize: (SocketChannel) -> Unit): Channel =
+        ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) = initialize(channel)
+                },
+            ).bind(endpoint.host, endpoint.port)
+            .syncUninterruptibly()
+            .channel()
+
+    private class SmallAnswerHandler(private val answer: (uri: String) -> SmallAnswer) :
+        SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val answered = answer(request.uri())
+            val body = Unpooled.copiedBuffer(answered.body, Charsets.UTF_8)
+            val status = HttpResponseStatus.valueOf(answered.status)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answered.contentType)
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            val isKeptOpen = HttpUtil.isKeepAlive(request)
+            if (!isKeptOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            val written = context.writeAndFlush(response)
+            if (!isKeptOpen) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        @Deprecated("Netty declares it so; the pipeline still calls it.")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val MAX_SMALL_BYTES = 16_384
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
@@ -0,0 +1,185 @@
+package org.yuccajunction.gateway
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.protobuf.ProtoBuf
+import org.yuccajunction.allowance.UsageTotals
+import org.yuccajunction.control.LogEvent
+import org.yuccajunction.entries.EntryBeat
+import org.yuccajunction.entries.EntryTable
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectWriting
+import java.net.InetSocketAddress
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Keeps in touch with the other entries: registers this one in the store and exchanges beats by datagrams.
+ *
+ * Confined to the control thread.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+internal class Peers(
+    private val traffic: Traffic,
+    private val control: Control,
+    private val store: ObjectStore,
+    private val log: DecisionLog,
+    private val run: Long,
+) {
+    private val settings = traffic.settings
+    private val unreported = ArrayList<EntryBeat>()
+    private var sequence = 0L
+    private lateinit var channel: Channel
+
+    val table = EntryTable(settings.name)
+    val totals = UsageTotals()
+
+    /** Reads the fencing number while this entry holds the duties, 0 otherwise. */
+    var dutyNumber: () -> Long = { 0 }
+
+    fun start(group: EventLoopGroup, scope: CoroutineScope) {
+        channel =
+            Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel::class.java)
+                .handler(Receiver())
+                .bind(settings.peerEndpoint.host, settings.peerEndpoint.port)
+                .syncUninterruptibly()
+                .channel()
+        scope.launch { register() }
+        scope.launch { beat() }
+    }
+
+    /** Writes this entry's registration, then reads those of all, so that of two that start one learns of the other. */
+    private suspend fun register() {
+        while (!writeRegistration()) delay(RETRY_PAUSE)
+        while (true) {
+            val listing = store.list(KIND)
+            if (listing is ObjectListing.Listed) {
+                for (stored in listing.objects) {
+                    val address = stored.value?.trim('"') ?: continue
+                    table.registered(stored.key.substringAfter('/'), address, traffic.now())
+                }
+            }
+            delay(if (listing is ObjectListing.Listed) LIST_INTERVAL else RETRY_PAUSE)
+        }
+    }
+
+    private suspend fun writeRegistration(): Boolean {
+        val key = "$KIND/${settings.name}"
+        val value = "\"${settings.peerEndpoint}\""
+        if (store.write(key, value, ExpectedVersion.Absent) is ObjectWriting.Written) return true
+        val reading = store.read(key) as? ObjectReading.Found ?: return false
+        if (reading.stored.value == value) return true
+        return store.write(key, value, ExpectedVersion.Is(reading.stored.version)) is ObjectWriting.Written
+    }
+
+    private suspend fun beat() {
+        while (true) {
+            delay(table.interval() * Random.nextDouble(MIN_JITTER, MAX_JITTER))
+            exchange()
+        }
+    }
+
+    /** Hands what peers told to the traffic thread and tells the peers what that thread reports. */
+    fun exchange() {
+        val told = unreported.toList()
+        unreported.clear()
+        val live = table.live(traffic.now())
+        control.entriesChanged((live.map { it.name } + settings.name).sorted())
+        traffic.loop.execute {
+            traffic.told(told, live.size + 1)
+            val report = traffic.report()
+            channel.eventLoop().execute { send(report) }
+        }
+    }
+
+    private fun send(report: TrafficReport) {
+        sequence += 1
+        totals.learn("${settings.name}/$run", report.usage)
+        val beat = beat(report)
+        val now = traffic.now()
+        val rumours = table.rumours(now)
+        for (target in table.targets(now, Random)) {
+            val endpoint = Endpoint.parse(target) ?: continue
+            val address = InetSocketAddress(endpoint.host, endpoint.port)
+            for (content in rumours + beat) {
+                val bytes = Unpooled.wrappedBuffer(ProtoBuf.encodeToByteArray(content))
+                channel.write(DatagramPacket(bytes, address))
+            }
+        }
+        channel.flush()
+    }
+
+    private fun beat(report: TrafficReport): EntryBeat =
+        EntryBeat(
+            name = settings.name,
+            run = run,
+            sequence = sequence,
+            callerAddress = settings.callerEndpoint.toString(),
+            peerAddress = settings.peerEndpoint.toString(),
+            zone = settings.zone.value,
+            isReady = control.isReady(),
+            revision = control.table.configuration?.revision?.value ?: 0,
+            dutyNumber = dutyNumber(),
+            admitted = report.admitted,
+            usage = report.usage,
+        )
+
+    private fun heard(bytes: ByteArray) {
+        val beat =
+            try {
+                ProtoBuf.decodeFromByteArray<EntryBeat>(bytes)
+            } catch (exception: SerializationException) {
+                return log.write(LogEvent.OBJECT_UNREADABLE) {
+                    field("key", "beat")
+                    field("detail", exception.message)
+                }
+            }
+        if (!table.heard(beat, traffic.now())) return
+        totals.learn("${beat.name}/${beat.run}", beat.usage)
+        unreported += beat
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
+            val bytes = ByteArray(packet.content().readableBytes())
+            packet.content().readBytes(bytes)
+            heard(bytes)
+        }
+
+        @Deprecated("Netty declares it so; the pipeline still calls it.")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            log.write(LogEvent.OBJECT_UNREADABLE) {
+                field("key", "beat")
+                field("detail", cause.toString())
+            }
+        }
+    }
+
+    private companion object {
+        const val KIND = "entry-registrations"
+        const val MIN_JITTER = 0.9
+        const val MAX_JITTER = 1.1
+        val RETRY_PAUSE = 500.milliseconds
+        val LIST_INTERVAL = 20.seconds
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
@@ -0,0 +1,145 @@
+package org.yuccajunction.gateway
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccajunction.model.Endpoint
+import kotlin.time.Duration
+
+/**
+ * Calls the platform over kept connections, one call at a time on each.
+ *
+ * Confined to the control thread. A call that is not answered in time closes its connection, as that may have gone
+ * silent for good.
+ */
+public class PlatformHttpClient(private val loop: EventLoop) {
+    private val idle = HashMap<Endpoint, ArrayDeque<Kept>>()
+    private val bootstrap =
+        Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+
+    /** Sends one request and waits at most [timeout] for its answer. */
+    public suspend fun call(
+        endpoint: Endpoint,
+        method: String,
+        uri: String,
+        body: String?,
+        timeout: Duration,
+        headers: Map<String, String> = emptyMap(),
+    ): HttpReply {
+        val channel = kept(endpoint) ?: connect(endpoint) ?: return HttpReply.NotSent("no connection to $endpoint")
+        val answer = CompletableDeferred<HttpReply>()
+        channel.pipeline().get(AnswerHandler::class.java).answer = answer
+        channel.writeAndFlush(request(endpoint, method, uri, body, headers))
+        val reply =
+            try {
+                withTimeoutOrNull(timeout) { answer.await() }
+            } finally {
+                if (!answer.isCompleted) channel.close()
+            }
+        if (reply is HttpReply.Answered && channel.isActive) keep(endpoint, channel)
+        return reply ?: HttpReply.Lost("no answer of $endpoint within $timeout")
+    }
+
+    /** Closes all idle connections, as they may have gone silent. */
+    public fun closeIdle() {
+        idle.values.forEach { kept -> kept.forEach { it.channel.close() } }
+        idle.clear()
+    }
+
+    private fun kept(endpoint: Endpoint): Channel? {
+        val all = idle[endpoint] ?: return null
+        while (true) {
+            val next = all.removeLastOrNull() ?: return null
+            val isFresh = System.nanoTime() - next.sinceNanos < MAX_IDLE_NANOS
+            if (next.channel.isActive && isFresh) return next.channel
+            next.channel.close()
+        }
+    }
+
+    private fun keep(endpoint: Endpoint, channel: Channel) {
+        idle.getOrPut(endpoint) { ArrayDeque() }.addLast(Kept(channel, System.nanoTime()))
+    }
+
+    private suspend fun connect(endpoint: Endpoint): Channel? {
+        val connected = CompletableDeferred<Channel?>()
+        val future = bootstrap.clone().handler(Initializer()).connect(endpoint.host, endpoint.port)
+        future.addListener { connected.complete(future.channel().takeIf { future.isSuccess }) }
+        return connected.await()
+    }
+
+    private fun request(
+        endpoint: Endpoint,
+        method: String,
+        uri: String,
+        body: String?,
+        headers: Map<String, String>,
+    ): DefaultFullHttpRequest {
+        val content = if (body == null) Unpooled.EMPTY_BUFFER else Unpooled.copiedBuffer(body, Charsets.UTF_8)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, content)
+        request.headers().set(HttpHeaderNames.HOST, endpoint.toString())
+        headers.forEach { (name, value) -> request.headers().set(name, value) }
+        if (body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        }
+        return request
+    }
+
+    private class Kept(val channel: Channel, val sinceNanos: Long)
+
+    private class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAX_ANSWER_BYTES), AnswerHandler())
+        }
+    }
+
+    private class AnswerHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
+        var answer: CompletableDeferred<HttpReply>? = null
+
+        override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+            val waiting = answer
+            answer = null
+            if (waiting == null || !HttpUtil.isKeepAlive(response)) context.close()
+            val body = response.content().toString(Charsets.UTF_8)
+            waiting?.complete(HttpReply.Answered(response.status().code(), body))
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            answer?.complete(HttpReply.Lost("the connection was closed"))
+            answer = null
+        }
+
+        @Deprecated("Netty declares it so; the pipeline still calls it.")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            answer?.complete(HttpReply.Lost("the connection broke: ${cause.message}"))
+            answer = null
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLIS = 500
+        const val MAX_ANSWER_BYTES = 8 * 1_048_576
+        const val MAX_IDLE_NANOS = 4_000_000_000L
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAttempt.kt
@@ -0,0 +1,32 @@
+package org.yuccajunction.gateway
+
+import org.yuccajunction.fleet.BackendServer
+import org.yuccajunction.fleet.LoadTicket
+import org.yuccajunction.forward.AttemptEnd
+import org.yuccajunction.model.MonotonicTime
+
+/** One attempt of an [exchange] at a backend server, as its connection sees it. */
+internal class ServerAttempt(
+    val exchange: Exchange,
+    val number: Int,
+    val server: BackendServer,
+    val ticket: LoadTicket,
+    val startedAt: MonotonicTime,
+) {
+    var connection: ServerConnection? = null
+    var isOver = false
+        private set
+
+    /** Ends the attempt without an answer that can be passed on. */
+    fun end(end: AttemptEnd) {
+        if (close()) exchange.attemptEnded(this, end)
+    }
+
+    /** Marks the attempt as over; returns false where it was already. */
+    fun close(): Boolean {
+        if (isOver) return false
+        isOver = true
+        connection = null
+        return true
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -0,0 +1,4 @@
+package org.yuccajunction.gateway
+
+/** What the traffic thread tells the control thread for the next beat. */
+internal class TrafficReport(val admitted: Map<String, Double>, val usage: Map<Long, Map<String, Int>>)
