--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
@@ -9,10 +9,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Decides which servers to order: reclaimable ones in place of the others, in every availability zone.
+ * Decides which servers to order: reclaimable ones in every availability zone, others only while those are too few.
  *
- * The others are given back in a zone once as many reclaimable ones serve there. What is lost in one zone is ordered in
- * the other zones until it is to be had there again. Confined to the control thread.
+ * What the platform takes away or refuses in one zone is ordered in the other zones, and until that serves, as servers
+ * that can't be taken away, where they cost least. Confined to the control thread.
  */
 public class CapacityOrders {
     private val orders = HashMap<OrderKey, LastOrder>()
@@ -20,24 +20,20 @@
     /**
      * Returns the orders that are due for [service].
      *
-     * @param baseline servers that each availability zone had before the first order
+     * @param servers the servers that may take requests
+     * @param wanted servers that each availability zone should have
      */
     public fun due(
         service: ForwardService,
         servers: Collection<BackendServer>,
-        baseline: Map<AvailabilityZone, Int>,
+        wanted: Map<AvailabilityZone, Int>,
         now: MonotonicTime,
     ): List<CapacityOrder> {
         val rule = service.scaling ?: return emptyList()
-        val serving = servers.filter { it.service == service.name && !it.isLeaving }
-        val wanted = wanted(service.name, rule, baseline, now)
-        return wanted.flatMap { (zone, count) ->
-            val inZone = serving.filter { it.zone == zone }
-            listOfNotNull(
-                reclaimable(service, rule, zone, count, inZone, now),
-                others(service.name, zone, count, inZone, now),
-            )
-        }
+        val state = State(service.name, rule, servers.filter { it.service == service.name && !it.isLeaving }, now)
+        val reclaimable = reclaimableCounts(state, wanted)
+        val orders = reclaimable.mapNotNull { (zone, count) -> reclaimableOrder(state, zone, count) }
+        return orders + otherOrders(state, wanted.values.sum())
     }
 
     /** An order was accepted or refused at [now]. */
@@ -50,58 +46,104 @@
         orders.clear()
     }
 
-    private fun wanted(
-        service: ServiceName,
-        rule: ScalingRule,
-        baseline: Map<AvailabilityZone, Int>,
-        now: MonotonicTime,
-    ): Map<AvailabilityZone, Int> {
-        val zones = rule.zonePrices.keys
-        val (closed, open) = zones.partition { isRefused(service, it, now) }
-        val missing = closed.sumOf { baseline[it] ?: 0 }
+    private fun reclaimableCounts(state: State, wanted: Map<AvailabilityZone, Int>): Map<AvailabilityZone, Int> {
+        val zones = state.rule.zonePrices.keys
+        val (closed, open) = zones.partition { isRefused(state, it) }
+        val missing = closed.sumOf { wanted[it] ?: 0 }
         val extra = if (open.isEmpty()) 0 else (missing + open.size - 1) / open.size
         return zones.associateWith { zone ->
-            val base = baseline[zone] ?: 0
-            val count = if (zone in open) base + extra else base
-            count.coerceIn(rule.minimum, rule.maximum)
+            val count = (wanted[zone] ?: 0) + if (zone in open) extra else 0
+            count.coerceIn(state.rule.minimum, state.rule.maximum)
         }
     }
 
-    private fun isRefused(service: ServiceName, zone: AvailabilityZone, now: MonotonicTime): Boolean {
-        val last = orders[OrderKey(service, zone, true)] ?: return false
-        return !last.isAccepted && now - last.at < REFUSAL_MEMORY
+    private fun isRefused(state: State, zone: AvailabilityZone): Boolean {
+        val last = orders[OrderKey(state.service, zone, true)] ?: return false
+        return !last.isAccepted && state.now - last.at < REFUSAL_MEMORY
     }
 
-    private fun reclaimable(
-        service: ForwardService,
-        rule: ScalingRule,
-        zone: AvailabilityZone,
-        count: Int,
-        inZone: List<BackendServer>,
-        now: MonotonicTime,
-    ): CapacityOrder? {
-        val present = inZone.count { it.isReclaimable }
-        val last = orders[OrderKey(service.name, zone, true)]
-        val isNew = last == null || last.desired != count
-        val isMissing = present < count && last != null && now - last.at >= rule.startTime + REORDER_MARGIN
-        val isRetry = last != null && !last.isAccepted && now - last.at >= REFUSAL_PAUSE
-        val isDue = if (last != null && !last.isAccepted) isRetry else isNew || isMissing
-        return if (isDue) CapacityOrder(service.name, zone, count, isReclaimable = true) else null
+    private fun reclaimableOrder(state: State, zone: AvailabilityZone, count: Int): CapacityOrder? {
+        val order = CapacityOrder(state.service, zone, count, isReclaimable = true)
+        val last = orders[OrderKey(state.service, zone, true)] ?: return order
+        val age = state.now - last.at
+        val isMissing = state.present(zone, isReclaimable = true) < count
+        val isDue =
+            when {
+                !last.isAccepted -> age >= REFUSAL_PAUSE
+                last.desired != count -> true
+                else -> isMissing && age >= state.rule.startTime + REORDER_MARGIN
+            }
+        return order.takeIf { isDue }
     }
 
-    private fun others(
-        service: ServiceName,
-        zone: AvailabilityZone,
-        count: Int,
-        inZone: List<BackendServer>,
-        now: MonotonicTime,
-    ): CapacityOrder? {
-        val present = inZone.count { !it.isReclaimable }
-        val replacements = inZone.count { it.isReclaimable && !it.isCold(now) }
-        if (present == 0 || replacements < count) return null
-        val last = orders[OrderKey(service, zone, false)]
-        if (last != null && now - last.at < RELEASE_PAUSE) return null
-        return CapacityOrder(service, zone, 0, isReclaimable = false)
+    /** Orders servers that can't be taken away in place of what is missing, and gives back what is not needed. */
+    private fun otherOrders(state: State, wanted: Int): List<CapacityOrder> {
+        val zones = state.rule.zonePrices.entries.sortedBy { it.value }.map { it.key }
+        val present = zones.associateWith { state.present(it, isReclaimable = false) }
+        val ordered = zones.associateWith { maxOf(present.getValue(it), coming(state, it, isReclaimable = false)) }
+        val serving = zones.sumOf { state.warm(it) }
+        val started = zones.sumOf { maxOf(state.present(it, true), coming(state, it, isReclaimable = true)) }
+        val missing = wanted - started - ordered.values.sum()
+        val surplus = present.values.sum() - maxOf(0, wanted - serving)
+        return when {
+            missing > 0 -> raised(state, zones, ordered, missing)
+            surplus > 0 -> lowered(state, zones.reversed(), present, surplus)
+            else -> emptyList()
+        }
+    }
+
+    private fun raised(
+        state: State,
+        zones: List<AvailabilityZone>,
+        ordered: Map<AvailabilityZone, Int>,
+        missing: Int,
+    ): List<CapacityOrder> {
+        var left = missing
+        return zones.mapNotNull { zone ->
+            val known = ordered.getValue(zone)
+            val room = state.rule.maximum - known - maxOf(state.present(zone, true), coming(state, zone, true))
+            val more = minOf(left, maxOf(0, room), (missing + 1) / 2)
+            left -= more
+            if (more > 0) CapacityOrder(state.service, zone, known + more, isReclaimable = false) else null
+        }
+    }
+
+    private fun lowered(
+        state: State,
+        zones: List<AvailabilityZone>,
+        present: Map<AvailabilityZone, Int>,
+        surplus: Int,
+    ): List<CapacityOrder> {
+        var left = surplus
+        return zones.mapNotNull { zone ->
+            val known = present.getValue(zone)
+            val fewer = minOf(left, known)
+            val last = orders[OrderKey(state.service, zone, false)]
+            val isSettled = last == null || state.now - last.at >= RELEASE_PAUSE
+            if (fewer == 0 || !isSettled) return@mapNotNull null
+            left -= fewer
+            CapacityOrder(state.service, zone, known - fewer, isReclaimable = false)
+        }
+    }
+
+    /** Returns how many servers an order that was lately accepted will lead to. */
+    private fun coming(state: State, zone: AvailabilityZone, isReclaimable: Boolean): Int {
+        val last = orders[OrderKey(state.service, zone, isReclaimable)] ?: return 0
+        val isRecent = state.now - last.at < state.rule.startTime + START_MARGIN
+        return if (last.isAccepted && isRecent) last.desired else 0
+    }
+
+    private class State(
+        val service: ServiceName,
+        val rule: ScalingRule,
+        private val servers: List<BackendServer>,
+        val now: MonotonicTime,
+    ) {
+        fun present(zone: AvailabilityZone, isReclaimable: Boolean): Int =
+            servers.count { it.zone == zone && it.isReclaimable == isReclaimable }
+
+        fun warm(zone: AvailabilityZone): Int =
+            servers.count { it.zone == zone && it.isReclaimable && !it.isCold(now) }
     }
 
     private data class OrderKey(val service: ServiceName, val zone: AvailabilityZone, val isReclaimable: Boolean)
@@ -112,6 +154,7 @@
         val REFUSAL_MEMORY = 6.seconds
         val REFUSAL_PAUSE = 3.seconds
         val REORDER_MARGIN = 3.seconds
-        val RELEASE_PAUSE = 5.seconds
+        val START_MARGIN = 2.seconds
+        val RELEASE_PAUSE = 4.seconds
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -28,11 +28,15 @@
     public val now: () -> MonotonicTime,
 ) {
     private var known: Known? = null
+    private var isInDoubt = false
     private var takenAt: MonotonicTime? = null
 
     /** The fencing number while this entry holds the duties, null otherwise. */
     public val number: Long? get() = known?.record?.takeIf(::isOwn)?.number
 
+    /** Whether this entry held the duties when it last knew. */
+    public val wasHeld: Boolean get() = number != null || isInDoubt
+
     /** Reads the record if it is not known; returns null where the store does not tell. */
     public suspend fun read(): DutyReading {
         known?.let { return DutyReading.Known(it.record) }
@@ -51,6 +55,7 @@
                 return DutyReading.Unavailable("record can't be read: ${exception.message}")
             }
         known = Known(record, reading.stored.version)
+        isInDoubt = false
         if (isOwn(record) && takenAt == null) takenAt = now()
         return DutyReading.Known(record)
     }
@@ -58,6 +63,7 @@
     /** Forgets what was read, so that the next call reads anew. */
     public fun forget() {
         known = null
+        isInDoubt = false
     }
 
     /** Takes the duties over from whoever holds them; returns whether this entry holds them now. */
@@ -88,6 +94,7 @@
         totals: Map<Long, Map<String, Int>> = emptyMap(),
         baseline: Map<String, Map<String, Int>> = emptyMap(),
     ): DutyGrant? {
+        if (isInDoubt) read()
         val record = known?.record?.takeIf(::isOwn) ?: return null
         val taken = takenAt ?: return null
         if (now() - taken < TAKEOVER_DELAY) return null
@@ -106,7 +113,15 @@
     private suspend fun write(record: DutyRecord): Boolean {
         val expected = known?.let { ExpectedVersion.Is(it.version) } ?: ExpectedVersion.Absent
         val writing = store.write(KEY, Json.encodeToString(DutyRecord.serializer(), record), expected)
-        known = if (writing is ObjectWriting.Written) Known(record, writing.version) else null
+        when (writing) {
+            is ObjectWriting.Written -> known = Known(record, writing.version)
+            is ObjectWriting.Refused -> Unit
+            is ObjectWriting.Conflict -> forget()
+            is ObjectWriting.Unknown -> {
+                known = null
+                isInDoubt = isOwn(record)
+            }
+        }
         return writing is ObjectWriting.Written
     }
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
@@ -74,47 +74,53 @@
     private fun best(loads: List<ServerLoad>, request: ForwardRequest, now: MonotonicTime): Pair<ServerLoad, Double>? {
         if (loads.isEmpty()) return null
         val usualFailures = loads.minOf { it.failureShare(now) } + FAILURE_TOLERANCE
-        val home = home(request)
+        val homes = homes(request)
         return loads
             .map { load ->
-                val predicted = predict(load, request, load.server.id == home, now)
-                val jitter = 1.0 + random.nextDouble(JITTER)
+                val cached = cachedTokens(load, request, homes)
+                val predicted = predict(load, request, cached, now)
                 val distrust = cost.distrust(load, usualFailures, now)
-                Triple(load, predicted, predicted * distrust * jitter + cost.distance(load))
+                val reread = maxOf(0, sharedTokens(request) - cached) * settings.rereadCost
+                val jitter = 1.0 + random.nextDouble(JITTER)
+                Triple(load, predicted, predicted * distrust * jitter + reread + cost.distance(load))
             }.minBy { it.third }
             .let { it.first to it.second }
     }
 
-    private fun predict(load: ServerLoad, request: ForwardRequest, isHome: Boolean, now: MonotonicTime): Double {
+    private fun predict(load: ServerLoad, request: ForwardRequest, cached: Int, now: MonotonicTime): Double {
         if (!request.route.isStream) return cost.application(load, now)
-        return cost.engine(load, unreadTokens(load, request, isHome), now)
+        return cost.engine(load, maxOf(0, request.promptTokens - cached), now)
     }
 
-    private fun unreadTokens(load: ServerLoad, request: ForwardRequest, isHome: Boolean): Int {
+    /** Tokens that the server keeps, by this entry's memory or because all entries send such prompts there. */
+    private fun cachedTokens(load: ServerLoad, request: ForwardRequest, homes: List<BackendServerId>): Int {
         val known = load.prefixes.cachedTokens(request.promptParts)
-        val told = if (isHome) (sharedTokens(request) * HOME_TRUST).toInt() else 0
-        return maxOf(0, request.promptTokens - maxOf(known, told))
+        val trust = HOME_TRUST.getOrNull(homes.indexOf(load.server.id)) ?: return known
+        return maxOf(known, (sharedTokens(request) * trust).toInt())
     }
 
-    private fun shared(request: ForwardRequest): List<PromptPart> = request.promptParts.dropLast(1)
+    private fun shared(request: ForwardRequest): List<PromptPart> =
+        if (request.route.isStream) request.promptParts.dropLast(1) else emptyList()
 
     private fun sharedTokens(request: ForwardRequest): Int = shared(request).sumOf { it.tokens }
 
-    /** The server that all entries send prompts with the same shared start to, as long as it can take them. */
-    private fun home(request: ForwardRequest): BackendServerId? {
-        if (sharedTokens(request) < MIN_SHARED_TOKENS) return null
-        val key = RendezvousHash.hash(shared(request).last().id)
+    /** The servers that all entries send prompts with the same shared start to, as long as they can take them. */
+    private fun homes(request: ForwardRequest): List<BackendServerId> {
+        val last = shared(request).lastOrNull() ?: return emptyList()
+        val key = RendezvousHash.hash(last.id)
         return table
             .candidates(request.service)
-            .maxByOrNull { RendezvousHash.score(RendezvousHash.hash(it.id.value), key) }
-            ?.id
+            .sortedByDescending { RendezvousHash.score(RendezvousHash.hash(it.id.value), key) }
+            .take(HOME_TRUST.size)
+            .map { it.id }
     }
 
     /** Counts an attempt of [request] that is being sent to [server]. */
     public fun began(server: BackendServer, request: ForwardRequest, now: MonotonicTime): LoadTicket {
         val load = loads[server.id] ?: return LoadTicket(server.id, 0, now, 0.0)
-        val unread = unreadTokens(load, request, isHome = false)
-        val ticket = LoadTicket(server.id, unread, now, predict(load, request, isHome = false, now))
+        val cached = cachedTokens(load, request, homes(request))
+        val unread = maxOf(0, request.promptTokens - cached)
+        val ticket = LoadTicket(server.id, unread, now, predict(load, request, cached, now))
         coldStarts.take(server)
         load.inFlight += 1
         load.unreadTokens += unread
@@ -181,8 +187,9 @@
         const val MIN_CONNECTIONS = 4
         const val FAILURE_TOLERANCE = 0.1
         const val JITTER = 0.15
-        const val HOME_TRUST = 0.8
-        const val MIN_SHARED_TOKENS = 400
+
+        /** Part of a prompt's shared start that its first and second home are taken to keep. */
+        val HOME_TRUST = listOf(0.9, 0.5)
         const val REJECTION_WEIGHT = 0.5
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -112,8 +112,7 @@
         if (isEnded) return
         if (now >= request.deadline) return expire()
         val at = server ?: return
-        if (!request.route.mayRepeat || !isOverdue(at, now)) return
-        if (!canRepeat(now)) return
+        if (!request.route.mayRepeat || !isOverdue(at, now) || !canLeave(at, now)) return
         val choice = choose(now, avoid.add(at.id))
         hasArrived = true
         if (choice !is ServerChoice.Use || !takeRetry(now)) return
@@ -142,8 +141,16 @@
     private fun canRepeat(now: MonotonicTime): Boolean =
         attempt < MAX_ATTEMPTS && request.deadline - now >= MINIMUM_TIME && hasRunsLeft()
 
+    /** Whether the request may go on elsewhere, though it may be running [at] its server. */
+    private fun canLeave(at: BackendServer, now: MonotonicTime): Boolean {
+        val hasTime = attempt < MAX_ATTEMPTS && request.deadline - now >= MINIMUM_TIME
+        return hasTime && runs(ranAt + at.id) < request.route.maxRuns
+    }
+
+    private fun hasRunsLeft(): Boolean = runs(ranAt) < request.route.maxRuns
+
     /** Servers that are gone don't count against the route's bound. */
-    private fun hasRunsLeft(): Boolean = ranAt.count { !environment.isGone(it) } < request.route.maxRuns
+    private fun runs(servers: Set<BackendServerId>): Int = servers.count { !environment.isGone(it) }
 
     private fun goOn(now: MonotonicTime): Boolean {
         val choice = choose(now) as? ServerChoice.Use ?: return false
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/allowance/WorkspaceAllowancesTest.kt
@@ -0,0 +1,98 @@
+package org.yuccajunction.allowance
+
+import org.yuccajunction.forward.WorkspacePolicy
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.WorkspaceId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+
+class WorkspaceAllowancesTest {
+    private val policy =
+        WorkspacePolicy(
+            id = WorkspaceId("workspace"),
+            countsTokens = true,
+            plainTokens = 200,
+            ratePerSecond = 160_000.0,
+            burst = 160_000.0,
+        )
+
+    /** Many entries under a hand-moved clock, each told by all others every 400 ms, with a delay of up to 100 ms. */
+    private inner class Entries(count: Int, seed: Int, private val isSilent: Boolean = false) {
+        private val random = Random(seed)
+        private val meters = List(count) { WorkspaceAllowances() }
+        private val admittedAt = ArrayList<Pair<Int, Double>>()
+        var refused = 0
+            private set
+        var asked = 0
+            private set
+
+        fun play(tokensPerSecond: Int, millis: IntRange) {
+            val perRequest = 6_000
+            for (time in millis) {
+                val now = MonotonicTime.ZERO + time.milliseconds
+                if (time % TELL_MILLIS == 0 && !isSilent) tell(now)
+                if (random.nextDouble() >= tokensPerSecond / 1_000.0 / perRequest) continue
+                val charge = random.nextInt(1, 2 * perRequest).toDouble()
+                asked += 1
+                val isAdmitted = meters[random.nextInt(meters.size)].take(policy, charge, now)
+                if (isAdmitted) admittedAt += time to charge else refused += 1
+            }
+        }
+
+        private fun tell(now: MonotonicTime) {
+            for ((index, meter) in meters.withIndex()) {
+                for ((other, receiver) in meters.withIndex()) {
+                    if (other != index) receiver.told("entry-$index", 1, meter.admitted(), meters.size, now)
+                }
+            }
+        }
+
+        fun worstWindow(length: Int): Double =
+            admittedAt.maxOf { (start, _) ->
+                admittedAt.filter { it.first in start until start + length }.sumOf { it.second }
+            }
+    }
+
+    @Test
+    fun `a workspace at many times its usual stays within its allowance over all entries`() {
+        for (seed in 1..5) {
+            val entries = Entries(count = 8, seed = seed)
+            entries.play(90_000, 0..3_000)
+            entries.play(650_000, 3_001..14_000)
+            val worst = entries.worstWindow(8_000)
+            val bound = (8 * 160_000 + 160_000) * 1.1 + 140_000
+            assertTrue(worst <= bound, "seed $seed: $worst tokens in 8 s, bound $bound")
+        }
+    }
+
+    @Test
+    fun `a workspace within its allowance is hardly ever refused`() {
+        for (seed in 1..5) {
+            val entries = Entries(count = 8, seed = seed)
+            entries.play(90_000, 0..20_000)
+            assertTrue(entries.refused * 100 <= entries.asked, "seed $seed: ${entries.refused} of ${entries.asked}")
+        }
+    }
+
+    @Test
+    fun `a request larger than what is left is admitted while anything is left`() {
+        val meter = WorkspaceAllowances()
+        assertTrue(meter.take(policy, 150_000.0, MonotonicTime.ZERO))
+        assertEquals(false, meter.take(policy, 1.0, MonotonicTime.ZERO))
+    }
+
+    @Test
+    fun `what did not run is given back`() {
+        val meter = WorkspaceAllowances()
+        meter.take(policy, 150_000.0, MonotonicTime.ZERO)
+        meter.giveBack(policy, 150_000.0)
+        assertTrue(meter.take(policy, 1.0, MonotonicTime.ZERO))
+    }
+
+    private companion object {
+        const val TELL_MILLIS = 400
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/MemoryStore.kt
@@ -0,0 +1,37 @@
+package org.yuccajunction.duty
+
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectVersion
+import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoredObject
+import kotlin.time.Duration
+
+/** One object of a store, whose answers can be lost. */
+class MemoryStore : ObjectStore {
+    private var stored: StoredObject? = null
+    var losesAnswers = false
+    var isAway = false
+
+    override suspend fun read(key: String): ObjectReading =
+        if (isAway) ObjectReading.Unavailable("away") else stored?.let(ObjectReading::Found) ?: ObjectReading.Absent
+
+    override suspend fun write(key: String, value: String, expected: ExpectedVersion): ObjectWriting {
+        if (isAway) return ObjectWriting.Refused("away")
+        val version = stored?.version
+        val isExpected = if (expected is ExpectedVersion.Is) expected.version == version else version == null
+        if (!isExpected) return ObjectWriting.Conflict
+        val next = ObjectVersion((version?.value ?: 0) + 1)
+        stored = StoredObject(key, next, value)
+        return if (losesAnswers) ObjectWriting.Unknown("lost") else ObjectWriting.Written(next)
+    }
+
+    override suspend fun remove(key: String, expected: ExpectedVersion): ObjectWriting = ObjectWriting.Conflict
+
+    override suspend fun list(prefix: String): ObjectListing = ObjectListing.Unavailable("not used")
+
+    override suspend fun watch(prefix: String, after: ObjectVersion, atMost: Duration): ObjectListing =
+        ObjectListing.Unavailable("not used")
+}
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/ServerListTest.kt
@@ -0,0 +1,60 @@
+package org.yuccajunction.fleet
+
+import org.yuccajunction.forward.ForwardFixture.Companion.server
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class ServerListTest {
+    private val list = ServerList()
+    private var now = MonotonicTime.ZERO
+
+    private fun ids(): List<String> = list.servers.keys.map { it.value }.sorted()
+
+    @Test
+    fun `a removed server is gone at once`() {
+        list.replace(listOf(server("a"), server("b")), now)
+        list.removed(BackendServerId("a"), now)
+        assertEquals(listOf("b"), ids())
+    }
+
+    @Test
+    fun `a registration that lapsed with the store away is kept until it could be back`() {
+        list.replace(listOf(server("a"), server("b")), now)
+        list.storeLost()
+        now += 9.seconds
+        list.storeReturned(now)
+        list.replace(listOf(server("b")), now)
+        assertEquals(listOf("a", "b"), ids())
+        now += 1.seconds
+        assertFalse(list.expire(now))
+        now += 2.seconds
+        assertTrue(list.expire(now))
+        assertEquals(listOf("b"), ids())
+    }
+
+    @Test
+    fun `a server that registers again after the store's return stays`() {
+        list.replace(listOf(server("a")), now)
+        list.storeLost()
+        list.storeReturned(now)
+        list.replace(emptyList(), now)
+        list.put(server("a"))
+        now += 5.seconds
+        list.expire(now)
+        assertEquals(listOf("a"), ids())
+    }
+
+    @Test
+    fun `a server that said that it leaves is not kept`() {
+        list.replace(listOf(server("a").copy(isLeaving = true)), now)
+        list.storeLost()
+        list.storeReturned(now)
+        list.replace(emptyList(), now)
+        assertEquals(emptyList(), ids())
+    }
+}
--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/forward/ForwardFixture.kt
@@ -0,0 +1,115 @@
+package org.yuccajunction.forward
+
+import kotlinx.collections.immutable.persistentListOf
+import org.yuccajunction.fleet.BackendServer
+import org.yuccajunction.fleet.ServerChoice
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.ServiceName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Drives one [ForwardMachine] under a hand-moved clock and records what it asks for. */
+class ForwardFixture(
+    isStream: Boolean = false,
+    mayRepeat: Boolean = true,
+    maxRuns: Int = 2,
+    servers: List<String> = listOf("a", "b", "c", "d", "e"),
+) : ForwardActions {
+    val asked = ArrayList<String>()
+    var retriesLeft = 10
+    var isSilent = false
+    val gone = HashSet<String>()
+    var now = MonotonicTime.ZERO
+
+    private val route =
+        ForwardRoute(
+            name = "route",
+            host = "host",
+            pathPrefix = "/path/",
+            destinations = persistentListOf(Destination(ServiceName("service"))),
+            isStream = isStream,
+            mayRepeat = mayRepeat,
+            timeLimit = 1_000.milliseconds,
+            target = 100.milliseconds,
+            maxRuns = maxRuns,
+        )
+    private val request =
+        ForwardRequest(
+            id = "request",
+            route = route,
+            service = ServiceName("service"),
+            workspace = null,
+            rank = 0,
+            receivedAt = MonotonicTime.ZERO,
+            deadline = MonotonicTime.ZERO + 1_000.milliseconds,
+        )
+    private val environment =
+        ForwardEnvironment(
+            choose = { query, _ ->
+                servers
+                    .firstOrNull { BackendServerId(it) !in query.avoid }
+                    ?.let { ServerChoice.Use(server(it)) }
+                    ?: ServerChoice.Refuse(RefusalCause.NO_CAPACITY, 500.milliseconds)
+            },
+            takeRetry = { _, _ -> retriesLeft-- > 0 },
+            isSilent = { _, _, _ -> isSilent },
+            isGone = { it.value in gone },
+        )
+    val machine = ForwardMachine(request, environment, this)
+
+    fun start(): ForwardFixture {
+        machine.start(now)
+        return this
+    }
+
+    fun after(milliseconds: Int): ForwardFixture {
+        now += milliseconds.milliseconds
+        machine.tick(now)
+        return this
+    }
+
+    fun ended(end: AttemptEnd): ForwardFixture {
+        machine.ended(machine.attempt, end, now)
+        return this
+    }
+
+    override fun dispatch(attempt: Int, server: BackendServer, lastEventId: String?) {
+        asked += "dispatch $attempt to ${server.id}" + if (lastEventId == null) "" else " after $lastEventId"
+    }
+
+    override fun cancel(attempt: Int) {
+        asked += "cancel $attempt"
+    }
+
+    override fun deliver(attempt: Int) {
+        asked += "deliver $attempt"
+    }
+
+    override fun refuse(cause: RefusalCause, retryAfter: Duration) {
+        asked += "refuse $cause"
+    }
+
+    override fun fail(cause: FailureCause) {
+        asked += "fail $cause"
+    }
+
+    override fun complete() {
+        asked += "complete"
+    }
+
+    override fun ended(attempt: Int, server: BackendServer, end: AttemptEnd) = Unit
+
+    companion object {
+        fun server(id: String, zone: String = "zone-a"): BackendServer =
+            BackendServer(
+                id = BackendServerId(id),
+                service = ServiceName("service"),
+                endpoint = Endpoint("10.0.0.1", 80),
+                zone = AvailabilityZone(zone),
+                slots = 8,
+            )
+    }
+}
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Control.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Control.kt
@@ -72,6 +72,7 @@
             clock = clock,
             kind = source.serverKind,
             wait = LIST_WAIT,
+            pause = GATHERING_PAUSE,
             listed = ::serversListed,
             changed = ::serversChanged,
         )
@@ -210,8 +211,11 @@
     fun now(): MonotonicTime = traffic.now()
 
     private companion object {
-        val CONFIGURATION_WAIT: Duration = 1.seconds
+        val CONFIGURATION_WAIT: Duration = 2.seconds
         val LIST_WAIT: Duration = 20.seconds
+
+        /** Well below the time in which an entry must heed that a server leaves. */
+        val GATHERING_PAUSE: Duration = 400.milliseconds
         val HOUSEKEEPING_INTERVAL: Duration = 500.milliseconds
         const val READY_SHARE = 0.7
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -54,9 +54,9 @@
             unheldSince = null
             return noteHolding()
         }
-        if (lease.number == null) tryToHold()
+        if (!lease.wasHeld) tryToHold()
         noteHolding()
-        if (lease.number == null) return
+        if (!lease.wasHeld) return
         reportUsage()
         orderCapacity()
     }
@@ -72,7 +72,7 @@
     }
 
     private fun noteHolding() {
-        val number = lease.number
+        val number = if (lease.wasHeld) lease.number ?: heldNumber else null
         if (number == heldNumber) return
         if (number != null) {
             orders.forget()
@@ -111,7 +111,7 @@
     private suspend fun orderCapacity() {
         val services = control.table.configuration?.services?.values.orEmpty().filter { it.scaling != null }
         for (service in services) {
-            val servers = control.table.servers.values
+            val servers = control.table.candidates(service.name)
             val baseline = baseline(service.name) ?: continue
             val due = orders.due(service, servers, baseline, control.now())
             if (due.isEmpty()) continue
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmission.kt
@@ -9,7 +9,6 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Finds the route and the workspace of a request and lets it begin, or refuses it at once. */
 internal class RequestAdmission(private val traffic: Traffic) {
@@ -110,6 +109,6 @@
         const val MIN_WAIT_MILLIS = 200
         const val MAX_WAIT_MILLIS = 700
         val KEY_MARGIN = 400.milliseconds
-        val CURRENT_AGE = 2.seconds
+        val CURRENT_AGE = 2_800.milliseconds
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
@@ -18,7 +18,8 @@
  *
  * @property kind kind of the objects
  * @property wait how long one watch waits for a change
- * @property isProbe whether this follower asks while the store does not answer
+ * @property isProbe whether this follower decides whether the store answers, and asks while it does not
+ * @property pause time after a change in which further changes are left to gather
  * @property listed takes over a whole list
  * @property changed takes over changed objects; one without a value was removed
  * @property confirmed is told the start of each call that proved what is known to be current
@@ -31,6 +32,7 @@
     private val kind: String,
     private val wait: Duration,
     private val isProbe: Boolean = false,
+    private val pause: Duration = Duration.ZERO,
     private val listed: (List<StoredObject>) -> Unit,
     private val changed: (List<StoredObject>) -> Unit,
     private val confirmed: (MonotonicTime) -> Unit = {},
@@ -50,13 +52,16 @@
         val listing = if (after == null) store.list(kind) else watch(after)
         when (listing) {
             null -> Unit
-            is ObjectListing.Listed -> takeOver(listing, isWhole = after == null, startedAt)
+            is ObjectListing.Listed -> {
+                takeOver(listing, isWhole = after == null, startedAt)
+                if (listing.objects.isNotEmpty()) delay(pause)
+            }
             is ObjectListing.Compacted -> {
                 version = null
                 log.write(LogEvent.HISTORY_LOST) { field("kind", kind) }
             }
             is ObjectListing.Unavailable -> {
-                health.failed("$kind: ${listing.detail}")
+                if (isProbe) health.failed("$kind: ${listing.detail}")
                 delay(Random.nextLong(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS).milliseconds)
             }
         }
@@ -80,7 +85,7 @@
     }
 
     private fun takeOver(listing: ObjectListing.Listed, isWhole: Boolean, startedAt: MonotonicTime) {
-        health.answered()
+        if (isProbe) health.answered()
         version = listing.version
         if (isWhole) {
             listed(listing.objects)
@@ -91,7 +96,7 @@
     }
 
     private companion object {
-        const val MIN_PAUSE_MILLIS = 150L
-        const val MAX_PAUSE_MILLIS = 350L
+        const val MIN_PAUSE_MILLIS = 80L
+        const val MAX_PAUSE_MILLIS = 250L
     }
 }
--- /dev/null
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/BoundedLineAppenderTest.kt
@@ -0,0 +1,49 @@
+package org.yuccajunction.gateway
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.spi.LoggingEvent
+import java.io.OutputStream
+import java.util.concurrent.CountDownLatch
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+class BoundedLineAppenderTest {
+    /** An output whose reader has stopped reading. */
+    private class BlockedOutput : OutputStream() {
+        val released = CountDownLatch(1)
+        val written = StringBuffer()
+
+        override fun write(byte: Int) = write(byteArrayOf(byte.toByte()), 0, 1)
+
+        override fun write(bytes: ByteArray, offset: Int, length: Int) {
+            released.await()
+            written.append(String(bytes, offset, length))
+        }
+    }
+
+    @Test
+    fun `logging never blocks, and dropped lines are counted`() {
+        val output = BlockedOutput()
+        val context = LoggerContext()
+        val appender = BoundedLineAppender(output)
+        appender.context = context
+        appender.start()
+        val startedAt = TimeSource.Monotonic.markNow()
+        repeat(10_000) {
+            val logger = context.getLogger("test")
+            appender.doAppend(LoggingEvent("test", logger, Level.INFO, "line $it", null, null))
+        }
+        assertTrue(startedAt.elapsedNow() < 5.seconds)
+        output.released.countDown()
+        val deadline = TimeSource.Monotonic.markNow() + 10.seconds
+        val expected = listOf("LINES_DROPPED", "\"message\":\"line 0\"")
+        while (!expected.all { it in output.written } && deadline.hasNotPassedNow()) {
+            appender.flush()
+            Thread.sleep(10)
+        }
+        expected.forEach { assertTrue(it in output.written, it) }
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -0,0 +1,132 @@
+package org.yuccajunction.gateway
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import org.yuccajunction.fleet.BackendServer
+import org.yuccajunction.fleet.FleetTable
+import org.yuccajunction.forward.CallerLimits
+import org.yuccajunction.forward.Destination
+import org.yuccajunction.forward.ForwardConfiguration
+import org.yuccajunction.forward.ForwardRoute
+import org.yuccajunction.forward.ForwardService
+import org.yuccajunction.forward.WorkspacePolicy
+import org.yuccajunction.gateway.ScriptedServer.Companion.send
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.BackendServerId
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.Revision
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.WorkspaceId
+import java.io.Closeable
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The data path of one entry on loopback, before the [servers] that a test scripts. */
+class GatewayFixture(private vararg val servers: ScriptedServer) : Closeable {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loopback = InetAddress.getLoopbackAddress().hostAddress
+    private val service = ServiceName("service")
+    private val nowhere = Endpoint(loopback, 0)
+    private val settings =
+        GatewaySettings("entry", AvailabilityZone("zone"), nowhere, nowhere, nowhere, nowhere, nowhere, nowhere)
+    internal val traffic =
+        Traffic(settings, TestWire(), group.next(), DecisionLog("test"), TrafficMetrics())
+    private val port: Int
+
+    init {
+        onLoop {
+            traffic.update(table())
+            traffic.confirmed(traffic.clock.now())
+        }
+        val channel = Listeners(group).callers(nowhere, traffic)
+        port = (channel.localAddress() as InetSocketAddress).port
+    }
+
+    private fun table(): FleetTable {
+        val listed =
+            servers.withIndex().associate { (index, server) ->
+                val id = BackendServerId("server-$index")
+                val endpoint = Endpoint(loopback, server.port)
+                id to BackendServer(id, service, endpoint, AvailabilityZone("zone"), slots = 8)
+            }
+        val configuration =
+            ForwardConfiguration(
+                revision = Revision(1),
+                routes =
+                persistentListOf(
+                    route("/safe/", isStream = false, mayRepeat = true),
+                    route("/once/", isStream = false, mayRepeat = false),
+                    route("/stream/", isStream = true, mayRepeat = true),
+                    route("/stream-once/", isStream = true, mayRepeat = false),
+                ),
+                services = persistentMapOf(service to ForwardService(service, maxConnections = 100)),
+                keys = persistentMapOf("key-1" to WorkspacePolicy(WorkspaceId("workspace"))),
+                limits = CallerLimits(headerBytes = 2_048, bodyBytes = 10_000),
+            )
+        return FleetTable(configuration, listed.toPersistentMap(), entries = persistentListOf("entry"))
+    }
+
+    private fun route(prefix: String, isStream: Boolean, mayRepeat: Boolean) =
+        ForwardRoute(
+            name = prefix,
+            host = "host",
+            pathPrefix = prefix,
+            destinations = persistentListOf(Destination(service)),
+            isStream = isStream,
+            mayRepeat = mayRepeat,
+            timeLimit = TIME_LIMIT,
+            target = TIME_LIMIT,
+            maxRuns = 2,
+        )
+
+    fun onLoop(action: () -> Unit) {
+        traffic.loop.submit(action).sync()
+    }
+
+    fun connect(): Socket = Socket(loopback, port).also { it.soTimeout = READ_TIMEOUT_MILLIS }
+
+    /** Sends one request on a new connection and returns all that comes until the connection ends or falls silent. */
+    fun exchange(path: String, body: String? = null, headers: String = "key: key-1\r\n"): String =
+        connect().use { connection ->
+            connection.send(request(path, body, headers))
+            readAll(connection)
+        }
+
+    override fun close() {
+        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS)
+    }
+
+    companion object {
+        val TIME_LIMIT = 1_500.milliseconds
+        private const val READ_TIMEOUT_MILLIS = 4_000
+
+        fun request(path: String, body: String? = null, headers: String = "key: key-1\r\n", id: String = "r1"): String {
+            val method = if (body == null) "GET" else "POST"
+            val length = if (body == null) "" else "content-length: ${body.length}\r\n"
+            return "$method $path HTTP/1.1\r\nhost: host\r\nid: $id\r\nlimit: 1500\r\n$headers$length" +
+                "connection: close\r\n\r\n${body.orEmpty()}"
+        }
+
+        fun readAll(connection: Socket): String {
+            val text = StringBuilder()
+            try {
+                while (true) {
+                    val byte = connection.getInputStream().read()
+                    if (byte < 0) break
+                    text.append(byte.toChar())
+                }
+            } catch (_: SocketTimeoutException) {
+                text.append("<silent>")
+            } catch (_: java.net.SocketException) {
+                text.append("<reset>")
+            }
+            return text.toString()
+        }
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/ScriptedServer.kt
@@ -0,0 +1,99 @@
+package org.yuccajunction.gateway
+
+import java.io.Closeable
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A backend server on loopback that answers each request with the bytes that [script] writes. */
+class ScriptedServer(private val script: (request: String, connection: Socket) -> Unit) : Closeable {
+    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val port: Int get() = listener.localPort
+    val requests = CopyOnWriteArrayList<String>()
+    val ended = CopyOnWriteArrayList<Int>()
+    val connections = CopyOnWriteArrayList<Socket>()
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val connection = accept() ?: break
+                connections += connection
+                thread(isDaemon = true) { serve(connection) }
+            }
+        }
+    }
+
+    private fun accept(): Socket? =
+        try {
+            listener.accept()
+        } catch (_: IOException) {
+            null
+        }
+
+    private fun serve(connection: Socket) {
+        val number = connections.indexOf(connection)
+        try {
+            while (true) {
+                val request = readRequest(connection) ?: break
+                requests += request
+                script(request, connection)
+            }
+        } catch (_: IOException) {
+            // The connection was closed by the script or by the caller; both are recorded below.
+        }
+        ended += number
+    }
+
+    override fun close() {
+        listener.close()
+        connections.forEach { it.close() }
+    }
+
+    companion object {
+        /** Reads one request with its body, null where the connection ended. */
+        fun readRequest(connection: Socket): String? {
+            val head = StringBuilder()
+            while (!head.endsWith("\r\n\r\n")) {
+                val byte = connection.getInputStream().read()
+                if (byte < 0) return null
+                head.append(byte.toChar())
+            }
+            val length =
+                head.lines().firstOrNull {
+                    it.startsWith("content-length:", true)
+                }?.substringAfter(':')?.trim()?.toInt()
+            val body = connection.getInputStream().readNBytes(length ?: 0)
+            return head.toString() + String(body)
+        }
+
+        fun Socket.send(text: String) {
+            getOutputStream().write(text.toByteArray())
+            getOutputStream().flush()
+        }
+
+        /** Closes the connection with a reset. */
+        fun Socket.reset() {
+            setSoLinger(true, 0)
+            close()
+        }
+
+        fun requestId(request: String): String =
+            request.lines().first { it.startsWith("id:", true) }.substringAfter(':').trim()
+
+        /** A whole answer to [request]. */
+        fun answer(request: String, body: String, status: String = "200 OK", more: String = ""): String =
+            "HTTP/1.1 $status\r\nid: ${requestId(request)}\r\nsignature: s\r\n$more" +
+                "content-length: ${body.length}\r\n\r\n$body"
+
+        /** The head of a stream that answers [request]. */
+        fun streamHead(request: String): String =
+            "HTTP/1.1 200 OK\r\nid: ${requestId(request)}\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n"
+
+        fun chunk(text: String): String = "${text.length.toString(radix = 16)}\r\n$text\r\n"
+
+        fun event(number: Int): String = "id: $number\ndata: piece $number\n\n"
+    }
+}
--- /dev/null
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
@@ -0,0 +1,36 @@
+package org.yuccajunction.gateway
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Plain header names for tests. */
+class TestWire : WireProtocol {
+    override fun readRequest(headers: HttpHeaders): CallerHead =
+        CallerHead(headers.get("id"), headers.get("key"), headers.get("limit")?.toInt()?.milliseconds, tokens = null)
+
+    override fun isPassedOn(name: String): Boolean = name.lowercase() !in setOf("key", "limit", "server")
+
+    override fun writeInstructions(headers: HttpHeaders, instructions: ServerInstructions) {
+        headers.set("limit", instructions.timeLeft.inWholeMilliseconds)
+        headers.set("server", instructions.server.value)
+        instructions.lastEventId?.let { headers.set("last-event", it) }
+    }
+
+    override fun readAnswer(response: HttpResponse): AnswerHead =
+        AnswerHead(
+            status = response.status().code(),
+            requestId = response.headers().get("id"),
+            isNotRun = response.headers().contains("not-run"),
+            isMisplaced = response.status().code() == 421,
+            isSigned = response.headers().contains("signature"),
+            isEncoded = response.headers().contains("content-encoding"),
+            load = null,
+            keepAliveSeconds = null,
+            endsConnection = response.headers().contains("connection", "close", true),
+        )
+
+    override fun removeSignature(headers: HttpHeaders) {
+        headers.remove("signature")
+    }
+}
