--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
@@ -11,29 +11,34 @@
 /**
  * Decides which servers to order: reclaimable ones in every availability zone, others only while those are too few.
  *
- * What the platform takes away or refuses in one zone is ordered in the other zones, and until that serves, as servers
- * that can't be taken away, where they cost least. Confined to the control thread.
+ * What the platform takes away or refuses in one zone is ordered in the other zones. Where fewer serve than the open
+ * requests need, servers that can't be taken away are ordered where they cost least. Confined to the control thread.
  */
 public class CapacityOrders {
     private val orders = HashMap<OrderKey, LastOrder>()
+    private val needs = HashMap<ServiceName, CapacityNeed>()
 
     /**
      * Returns the orders that are due for [service].
      *
      * @param servers the servers that may take requests
      * @param wanted servers that each availability zone should have
+     * @param openRequests requests of the service that are open at all entries together
      */
     public fun due(
         service: ForwardService,
         servers: Collection<BackendServer>,
         wanted: Map<AvailabilityZone, Int>,
+        openRequests: Double,
         now: MonotonicTime,
     ): List<CapacityOrder> {
         val rule = service.scaling ?: return emptyList()
         val state = State(service.name, rule, servers.filter { it.service == service.name && !it.isLeaving }, now)
-        val reclaimable = reclaimableCounts(state, wanted)
-        val orders = reclaimable.mapNotNull { (zone, count) -> reclaimableOrder(state, zone, count) }
-        return orders + otherOrders(state, wanted.values.sum())
+        val needed = needs.getOrPut(service.name) { CapacityNeed() }.update(openRequests, now)
+        val reclaimable = reclaimableCounts(state, wanted, needed)
+        val orders =
+            reclaimable.mapNotNull { (zone, count) -> reclaimableOrder(state, zone, count, wanted[zone] ?: 0) }
+        return orders + otherOrders(state, maxOf(needed, wanted.values.sum() / 2))
     }
 
     /** An order was accepted or refused at [now]. */
@@ -46,10 +51,14 @@
         orders.clear()
     }
 
-    private fun reclaimableCounts(state: State, wanted: Map<AvailabilityZone, Int>): Map<AvailabilityZone, Int> {
+    private fun reclaimableCounts(
+        state: State,
+        wanted: Map<AvailabilityZone, Int>,
+        needed: Int,
+    ): Map<AvailabilityZone, Int> {
         val zones = state.rule.zonePrices.keys
         val (closed, open) = zones.partition { isRefused(state, it) }
-        val missing = closed.sumOf { wanted[it] ?: 0 }
+        val missing = closed.sumOf { wanted[it] ?: 0 } + maxOf(0, needed - wanted.values.sum())
         val extra = if (open.isEmpty()) 0 else (missing + open.size - 1) / open.size
         return zones.associateWith { zone ->
             val count = (wanted[zone] ?: 0) + if (zone in open) extra else 0
@@ -62,14 +71,15 @@
         return !last.isAccepted && state.now - last.at < REFUSAL_MEMORY
     }
 
-    private fun reclaimableOrder(state: State, zone: AvailabilityZone, count: Int): CapacityOrder? {
+    private fun reclaimableOrder(state: State, zone: AvailabilityZone, count: Int, usual: Int): CapacityOrder? {
         val order = CapacityOrder(state.service, zone, count, isReclaimable = true)
         val last = orders[OrderKey(state.service, zone, true)] ?: return order
         val age = state.now - last.at
-        val isMissing = state.present(zone, isReclaimable = true) < count
+        val present = state.present(zone, isReclaimable = true)
+        val isMissing = present < count
         val isDue =
             when {
-                !last.isAccepted -> age >= REFUSAL_PAUSE
+                !last.isAccepted -> age >= if (present < usual) REFUSAL_PAUSE else REFUSAL_MEMORY
                 last.desired != count -> true
                 else -> isMissing && age >= state.rule.startTime + REORDER_MARGIN
             }
@@ -77,14 +87,14 @@
     }
 
     /** Orders servers that can't be taken away in place of what is missing, and gives back what is not needed. */
-    private fun otherOrders(state: State, wanted: Int): List<CapacityOrder> {
+    private fun otherOrders(state: State, needed: Int): List<CapacityOrder> {
         val zones = state.rule.zonePrices.entries.sortedBy { it.value }.map { it.key }
         val present = zones.associateWith { state.present(it, isReclaimable = false) }
         val ordered = zones.associateWith { maxOf(present.getValue(it), coming(state, it, isReclaimable = false)) }
         val serving = zones.sumOf { state.warm(it) }
         val started = zones.sumOf { maxOf(state.present(it, true), coming(state, it, isReclaimable = true)) }
-        val missing = wanted - started - ordered.values.sum()
-        val surplus = present.values.sum() - maxOf(0, wanted - serving)
+        val missing = needed - started - ordered.values.sum()
+        val surplus = if (serving < needed) 0 else present.values.sum()
         return when {
             missing > 0 -> raised(state, zones, ordered, missing)
             surplus > 0 -> lowered(state, zones.reversed(), present, surplus)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryBeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryBeat.kt
@@ -14,7 +14,7 @@
  * @property isReady whether callers should be sent to it
  * @property revision the newest configuration that it has in force
  * @property dutyNumber its fencing number while it holds the duties, 0 otherwise
- * @property demand time of backend servers that its requests ask for, in server milliseconds a second, by service
+ * @property openRequests its requests that are at backend servers, by service
  * @property admitted what it has admitted so far, by workspace
  * @property usage its counts of requests that began to run, by window and workspace
  */
@@ -29,7 +29,7 @@
     public val isReady: Boolean = false,
     public val revision: Long = 0,
     public val dutyNumber: Long = 0,
-    public val demand: Map<String, Double> = emptyMap(),
+    public val openRequests: Map<String, Int> = emptyMap(),
     public val admitted: Map<String, Double> = emptyMap(),
     public val usage: Map<Long, Map<String, Int>> = emptyMap(),
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
@@ -7,6 +7,7 @@
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.ServiceName
 import org.yuccajunction.routing.RendezvousHash
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -169,6 +170,12 @@
             else -> 1.0
         }
 
+    /** Returns this entry's requests that are at servers, by service. */
+    public fun openRequests(): Map<ServiceName, Int> =
+        loads.values
+            .groupBy { it.server.service }
+            .mapValues { (_, servers) -> servers.sumOf { it.inFlight } }
+
     /** Returns whether [server] sent nothing for too long since [since]. */
     public fun isSilent(server: BackendServerId, since: MonotonicTime, now: MonotonicTime): Boolean {
         val load = loads[server] ?: return true
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -113,7 +113,7 @@
         for (service in services) {
             val servers = control.table.candidates(service.name)
             val baseline = baseline(service.name) ?: continue
-            val due = orders.due(service, servers, baseline, control.now())
+            val due = orders.due(service, servers, baseline, peers.openRequests(service.name), control.now())
             if (due.isEmpty()) continue
             val recorded = mapOf(service.name.value to baseline.mapKeys { it.key.value })
             val grant = lease.claim(baseline = recorded) ?: return
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
@@ -21,6 +21,7 @@
 import org.yuccajunction.entries.EntryBeat
 import org.yuccajunction.entries.EntryTable
 import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.ServiceName
 import org.yuccajunction.port.ExpectedVersion
 import org.yuccajunction.port.ObjectListing
 import org.yuccajunction.port.ObjectReading
@@ -47,6 +48,7 @@
     private val settings = traffic.settings
     private val unreported = ArrayList<EntryBeat>()
     private var sequence = 0L
+    private var ownOpenRequests: Map<String, Int> = emptyMap()
     private lateinit var channel: Channel
 
     val table = EntryTable(settings.name)
@@ -92,6 +94,12 @@
         return store.write(key, value, ExpectedVersion.Is(reading.stored.version)) is ObjectWriting.Written
     }
 
+    /** Returns the requests of [service] that are open at all entries together. */
+    fun openRequests(service: ServiceName): Double {
+        val own = ownOpenRequests[service.value] ?: 0
+        return own.toDouble() + table.live(traffic.now()).sumOf { it.openRequests[service.value] ?: 0 }
+    }
+
     private suspend fun beat() {
         while (true) {
             delay(table.interval() * Random.nextDouble(MIN_JITTER, MAX_JITTER))
@@ -114,6 +122,7 @@
 
     private fun send(report: TrafficReport) {
         sequence += 1
+        ownOpenRequests = report.openRequests
         totals.learn("${settings.name}/$run", report.usage)
         val beat = beat(report)
         val now = traffic.now()
@@ -140,6 +149,7 @@
             isReady = control.isReady(),
             revision = control.table.configuration?.revision?.value ?: 0,
             dutyNumber = dutyNumber(),
+            openRequests = report.openRequests,
             admitted = report.admitted,
             usage = report.usage,
         )
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
@@ -128,6 +128,7 @@
         TrafficReport(
             admitted = allowances.admitted().mapKeys { it.key.value },
             usage = usage.counts(),
+            openRequests = loads.openRequests().mapKeys { it.key.value },
         )
 
     /** Takes over what peers told. */
--- /dev/null
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/StoreFollowerTest.kt
@@ -0,0 +1,110 @@
+package org.yuccajunction.gateway
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectVersion
+import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoredObject
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class StoreFollowerTest {
+    /** Answers calls in turn as told, and leaves the next watch waiting when nothing more is told. */
+    private class ScriptedStore(vararg answers: ObjectListing) : ObjectStore {
+        private val answers = ArrayDeque(answers.toList())
+        val calls = ArrayList<String>()
+
+        override suspend fun list(prefix: String): ObjectListing = next("list")
+
+        override suspend fun watch(prefix: String, after: ObjectVersion, atMost: Duration): ObjectListing =
+            next("watch $after")
+
+        private suspend fun next(call: String): ObjectListing {
+            calls += call
+            return answers.removeFirstOrNull() ?: awaitCancellation()
+        }
+
+        override suspend fun read(key: String): ObjectReading = ObjectReading.Absent
+
+        override suspend fun write(key: String, value: String, expected: ExpectedVersion): ObjectWriting =
+            ObjectWriting.Conflict
+
+        override suspend fun remove(key: String, expected: ExpectedVersion): ObjectWriting = ObjectWriting.Conflict
+    }
+
+    private val log = DecisionLog("test")
+    private val health = StoreHealth(log)
+
+    private fun listed(version: Long, vararg names: String): ObjectListing =
+        ObjectListing.Listed(
+            ObjectVersion(version),
+            persistentListOf<StoredObject>().addAll(
+                names.map {
+                    StoredObject("kind/$it", ObjectVersion(version), "{}")
+                },
+            ),
+        )
+
+    private fun follow(store: ScriptedStore, isProbe: Boolean, calls: Int): List<String> {
+        val seen = ArrayList<String>()
+        val follower =
+            StoreFollower(
+                store = store,
+                health = health,
+                log = log,
+                clock = SuspensionAwareClock(),
+                kind = "kind",
+                wait = 1.seconds,
+                isProbe = isProbe,
+                listed = { objects -> seen += "listed ${objects.map { it.key }}" },
+                changed = { objects -> seen += "changed ${objects.map { it.key }}" },
+            )
+        runBlocking {
+            val running = launch { follower.run() }
+            while (store.calls.size < calls) delay(POLL_MILLIS)
+            running.cancelAndJoin()
+        }
+        return seen
+    }
+
+    @Test
+    fun `a watch that is cut goes on from where it was, though another kind's watch still waits`() {
+        val store = ScriptedStore(listed(5, "a"), ObjectListing.Unavailable("cut"), listed(7, "b"))
+        val seen = follow(store, isProbe = false, calls = 4)
+        assertEquals(listOf("list", "watch 5", "watch 5", "watch 7"), store.calls)
+        assertEquals(listOf("listed [kind/a]", "changed [kind/b]"), seen)
+    }
+
+    @Test
+    fun `a history that is lost leads to a new list`() {
+        val store = ScriptedStore(listed(5, "a"), ObjectListing.Compacted, listed(9, "b"))
+        val seen = follow(store, isProbe = false, calls = 4)
+        assertEquals(listOf("list", "watch 5", "list", "watch 9"), store.calls)
+        assertEquals(listOf("listed [kind/a]", "listed [kind/b]"), seen)
+    }
+
+    @Test
+    fun `only the probe asks while the store is away`() {
+        val probe = ScriptedStore(ObjectListing.Unavailable("away"), ObjectListing.Unavailable("away"))
+        follow(probe, isProbe = true, calls = 3)
+        assertFalse(health.isUp.value)
+        val other = ScriptedStore(listed(1))
+        follow(other, isProbe = false, calls = 0)
+        assertEquals(emptyList(), other.calls)
+    }
+
+    private companion object {
+        const val POLL_MILLIS = 5L
+    }
+}
