--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -95,9 +95,7 @@
         baseline: Map<String, Map<String, Int>> = emptyMap(),
     ): DutyGrant? {
         if (isInDoubt) read()
-        val record = known?.record?.takeIf(::isOwn) ?: return null
-        val taken = takenAt ?: return null
-        if (now() - taken < TAKEOVER_DELAY) return null
+        val record = known?.record?.takeIf { isOwn(it) && hasSettled() } ?: return null
         val startedAt = now()
         val kept = (totals + record.totals).toSortedMap().entries.toList().takeLast(KEPT_TOTALS)
         val next =
@@ -110,6 +108,8 @@
         return DutyGrant(next, startedAt + GRANT_TIME).takeIf { it.isValid(now()) }
     }
 
+    private fun hasSettled(): Boolean = takenAt?.let { now() - it >= TAKEOVER_DELAY } == true
+
     private suspend fun write(record: DutyRecord): Boolean {
         val expected = known?.let { ExpectedVersion.Is(it.version) } ?: ExpectedVersion.Absent
         val writing = store.write(KEY, Json.encodeToString(DutyRecord.serializer(), record), expected)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -25,8 +25,7 @@
     private var dispatchedAt = request.receivedAt
     private var answeredAttempt: Int? = null
     private var lastEventId: String? = null
-    private var hasArrived = false
-    private val ranAt = mutableSetOf<BackendServerId>()
+    private val runs = ForwardRuns(request.route.maxRuns, environment.isGone)
 
     /** Number of the current or last attempt; 0 before the first. */
     public var attempt: Int = 0
@@ -41,7 +40,7 @@
         private set
 
     /** Whether a server may have begun to work on the request. */
-    public val mayHaveRun: Boolean get() = ranAt.isNotEmpty()
+    public val mayHaveRun: Boolean get() = runs.hasAny
 
     /** Chooses a server and sends the request there, or refuses it at once. */
     public fun start(now: MonotonicTime) {
@@ -112,16 +111,21 @@
         if (isEnded) return
         if (now >= request.deadline) return expire()
         val at = server ?: return
-        if (!request.route.mayRepeat || !isOverdue(at, now) || !canLeave(at, now)) return
+        val mayLeave = canGoOn(now) && runs.hasLeftBeside(at.id)
+        if (mayLeave && isOverdue(at, now)) leave(at, now)
+    }
+
+    /** Goes on at another server, though the request may still run [at] its server. */
+    private fun leave(at: BackendServer, now: MonotonicTime) {
         val choice = choose(now, avoid.add(at.id))
-        hasArrived = true
-        if (choice !is ServerChoice.Use || !takeRetry(now)) return
+        if (choice !is ServerChoice.Use || !environment.takeRetry(request.service, now)) return
         actions.cancel(attempt)
         finish(AttemptEnd.SILENT)
         dispatch(choice.server, now)
     }
 
     private fun isOverdue(at: BackendServer, now: MonotonicTime): Boolean {
+        if (!request.route.mayRepeat) return false
         if (environment.isSilent(at.id, dispatchedAt, now)) return true
         return !request.route.isStream && now - dispatchedAt >= request.route.target * SLOW_ANSWER_SHARE
     }
@@ -133,28 +137,17 @@
     }
 
     private fun mayGoOn(end: AttemptEnd, now: MonotonicTime): Boolean {
-        if (attempt >= MAX_ATTEMPTS || request.deadline - now < MINIMUM_TIME) return false
-        if (!end.mayHaveRun && !isStreaming) return hasRunsLeft() || !mayHaveRun
-        return request.route.mayRepeat && canRepeat(now)
+        if (!canGoOn(now)) return false
+        if (!end.mayHaveRun && !isStreaming) return runs.hasLeft || !mayHaveRun
+        return request.route.mayRepeat && runs.hasLeft
     }
 
-    private fun canRepeat(now: MonotonicTime): Boolean =
-        attempt < MAX_ATTEMPTS && request.deadline - now >= MINIMUM_TIME && hasRunsLeft()
-
-    /** Whether the request may go on elsewhere, though it may be running [at] its server. */
-    private fun canLeave(at: BackendServer, now: MonotonicTime): Boolean {
-        val hasTime = attempt < MAX_ATTEMPTS && request.deadline - now >= MINIMUM_TIME
-        return hasTime && runs(ranAt + at.id) < request.route.maxRuns
-    }
-
-    private fun hasRunsLeft(): Boolean = runs(ranAt) < request.route.maxRuns
-
-    /** Servers that are gone don't count against the route's bound. */
-    private fun runs(servers: Set<BackendServerId>): Int = servers.count { !environment.isGone(it) }
+    private fun canGoOn(now: MonotonicTime): Boolean =
+        attempt < MAX_ATTEMPTS && request.deadline - now >= MINIMUM_TIME
 
     private fun goOn(now: MonotonicTime): Boolean {
         val choice = choose(now) as? ServerChoice.Use ?: return false
-        if (!takeRetry(now)) return false
+        if (runs.hasArrived && !environment.takeRetry(request.service, now)) return false
         dispatch(choice.server, now)
         return true
     }
@@ -177,15 +170,11 @@
         val at = server ?: return false
         server = null
         avoid = avoid.add(at.id)
-        if (end != AttemptEnd.UNREACHABLE) hasArrived = true
-        if (end.mayHaveRun) ranAt += at.id
+        runs.ended(at.id, end)
         actions.ended(attempt, at, end)
         return true
     }
 
-    /** Only attempts after one that reached a server count against the retry budget. */
-    private fun takeRetry(now: MonotonicTime): Boolean = !hasArrived || environment.takeRetry(request.service, now)
-
     private fun choose(now: MonotonicTime, without: Set<BackendServerId> = avoid): ServerChoice =
         environment.choose(ServerQuery(request, without, isRetry = attempt > 0), now)
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
-import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.forward.FailureCause
@@ -38,8 +37,7 @@
     private var streamHead: HttpResponse? = null
     private var lastEventNumber = Long.MIN_VALUE
     private var hasBegun = false
-    private var outcome = "open"
-    private var servers = ""
+    private val record = ExchangeRecord(traffic, request)
 
     val method: HttpMethod get() = head.method()
 
@@ -62,7 +60,7 @@
 
     override fun dispatch(attempt: Int, server: BackendServer, lastEventId: String?) {
         val now = traffic.now()
-        servers = if (servers.isEmpty()) server.id.value else "$servers,${server.id.value}"
+        record.dispatched(server)
         val ticket = traffic.loads.began(server, request, now)
         val started = ServerAttempt(this, attempt, server, ticket, now)
         this.attempt = started
@@ -192,45 +190,12 @@
         finish("completed")
     }
 
-    override fun ended(attempt: Int, server: BackendServer, end: AttemptEnd) {
-        traffic.metrics.attemptEnded(end.name)
-        traffic.log.write(LogEvent.FORWARD_ATTEMPT_ENDED) {
-            field("request", request.id)
-            field("attempt", attempt)
-            field("server", server.id)
-            field("end", end)
-            field("millis", (traffic.now() - request.receivedAt).inWholeMilliseconds)
-        }
-    }
+    override fun ended(attempt: Int, server: BackendServer, end: AttemptEnd) = record.attemptEnded(attempt, server, end)
 
     private fun finish(outcome: String) {
-        this.outcome = outcome
         traffic.end(this)
         body.release()
-        val taken = traffic.now() - request.receivedAt
-        traffic.metrics.ended(
-            request.workspace?.value ?: PUBLIC,
-            "${if (request.route.isStream) "stream" else "call"}-${request.route.rank}",
-            outcome,
-            taken.inWholeNanoseconds,
-        )
-        log(taken)
-    }
-
-    private fun log(taken: Duration) {
-        traffic.log.write(LogEvent.FORWARD_ENDED) {
-            field("request", request.id)
-            field("outcome", outcome)
-            field("route", request.route.name)
-            field("workspace", request.workspace)
-            field("servers", servers.ifEmpty { null })
-            field("attempts", machine.attempt)
-            field("millis", taken.inWholeMilliseconds)
-            field("limitMillis", (request.deadline - request.receivedAt).inWholeMilliseconds)
-            field("promptTokens", request.promptTokens)
-            field("revision", traffic.table.configuration?.revision)
-            field("revisionAgeMillis", traffic.keyAge()?.inWholeMilliseconds)
-        }
+        record.ended(outcome, machine.attempt)
     }
 
     /** What the request took of its workspace's allowance. */
@@ -240,7 +205,6 @@
 
     private companion object {
         const val SERVER_ERROR = 500
-        const val PUBLIC = "public"
 
         /** Statuses that say that a request has not run. */
         val PROMISES =
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmission.kt
@@ -1,5 +1,10 @@
 package org.yuccajunction.gateway
 
+import arrow.core.Either
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.yuccajunction.forward.ForwardConfiguration
 import org.yuccajunction.forward.ForwardRequest
@@ -13,30 +18,51 @@
 /** Finds the route and the workspace of a request and lets it begin, or refuses it at once. */
 internal class RequestAdmission(private val traffic: Traffic) {
     fun admit(received: ReceivedRequest, caller: CallerConnection) {
-        when (val outcome = decide(received)) {
-            is Outcome.Admitted -> caller.begin(exchange(received, caller, outcome))
-            is Outcome.Refused -> {
+        when (val decided = decide(received)) {
+            is Either.Right -> caller.begin(exchange(received, caller, decided.value))
+            is Either.Left -> {
                 received.body.release()
-                caller.refuse(outcome.cause.status, outcome.cause.code, outcome.retryAfter)
+                deny(decided.value, caller)
             }
-            is Outcome.Unknown -> {
-                received.body.release()
-                caller.fail(outcome.status, outcome.code)
+        }
+    }
+
+    private fun deny(denial: Denial, caller: CallerConnection) {
+        when (denial) {
+            is Denial.Refused -> caller.refuse(denial.cause.status, denial.cause.code, denial.retryAfter)
+            is Denial.Unknown -> caller.fail(denial.status, denial.code)
+        }
+    }
+
+    private fun decide(received: ReceivedRequest): Either<Denial, Admitted> =
+        either {
+            val configuration = ensureNotNull(traffic.table.configuration) { refused(RefusalCause.NO_CONFIGURATION) }
+            ensure(!traffic.isClosing(received.receivedAt)) {
+                Denial.Refused(RefusalCause.ENTRY_LEAVING, Duration.ZERO)
             }
+            ensure(traffic.openExchanges < MAX_OPEN) { refused(RefusalCause.ENTRY_LIMIT) }
+            val route = ensureNotNull(route(configuration, received)) { unknown(NOT_FOUND, "unknown-route") }
+            val head = traffic.wire.readRequest(received.head.headers())
+            val id = ensureNotNull(head.id) { Denial.Unknown(BAD_REQUEST, "missing-identity") }
+            val policy = if (route.isPublic || !configuration.needsKeys) null else policy(configuration, head)
+            val charge = policy?.let { charge(it, head, received) }
+            Admitted(request(received, route, head, id, policy), charge)
         }
+
+    private fun Raise<Denial>.policy(configuration: ForwardConfiguration, head: CallerHead): WorkspacePolicy {
+        ensure(!isUnconfirmed()) { refused(RefusalCause.UNCONFIRMED_KEYS) }
+        return ensureNotNull(head.key?.let { configuration.keys[it] }) { unknown(UNAUTHORIZED, "unknown-key") }
     }
 
-    private fun decide(received: ReceivedRequest): Outcome {
-        val configuration = traffic.table.configuration ?: return refused(RefusalCause.NO_CONFIGURATION)
-        if (traffic.isClosing(received.receivedAt)) return Outcome.Refused(RefusalCause.ENTRY_LEAVING, Duration.ZERO)
-        if (traffic.openExchanges >= MAX_OPEN) return refused(RefusalCause.ENTRY_LIMIT)
-        val route = route(configuration, received) ?: return unknown(NOT_FOUND, "unknown-route")
-        val head = traffic.wire.readRequest(received.head.headers())
-        val id = head.id ?: return Outcome.Unknown(BAD_REQUEST, "missing-identity")
-        if (route.isPublic || !configuration.needsKeys) return admitted(received, route, head, id, null)
-        if (isUnconfirmed()) return refused(RefusalCause.UNCONFIRMED_KEYS)
-        val policy = head.key?.let { configuration.keys[it] } ?: return unknown(UNAUTHORIZED, "unknown-key")
-        return admitted(received, route, head, id, policy)
+    private fun Raise<Denial>.charge(
+        policy: WorkspacePolicy,
+        head: CallerHead,
+        received: ReceivedRequest,
+    ): Exchange.Charge {
+        val amount = policy.charge(head.tokens)
+        val isAdmitted = traffic.allowances.take(policy, amount, received.receivedAt)
+        ensure(isAdmitted) { refused(RefusalCause.WORKSPACE_LIMIT) }
+        return Exchange.Charge(policy, amount)
     }
 
     private fun route(configuration: ForwardConfiguration, received: ReceivedRequest): ForwardRoute? {
@@ -44,35 +70,27 @@
         return configuration.route(host.substringBefore(':'), received.head.uri().substringBefore('?'))
     }
 
-    private fun admitted(
+    private fun request(
         received: ReceivedRequest,
         route: ForwardRoute,
         head: CallerHead,
         id: String,
         policy: WorkspacePolicy?,
-    ): Outcome {
-        val charge = policy?.charge(head.tokens) ?: 0.0
-        if (policy != null && !traffic.allowances.take(policy, charge, received.receivedAt)) {
-            return refused(RefusalCause.WORKSPACE_LIMIT)
-        }
-        val limit = minOf(head.timeLimit ?: route.timeLimit, route.timeLimit)
-        val request =
-            ForwardRequest(
-                id = id,
-                route = route,
-                service = route.destination(traffic.random),
-                workspace = policy?.id,
-                rank = policy?.rank ?: route.rank,
-                receivedAt = received.receivedAt,
-                deadline = received.receivedAt + limit,
-                promptTokens = head.promptTokens,
-                answerTokens = head.answerTokens,
-                promptParts = head.promptParts,
-            )
-        return Outcome.Admitted(request, policy?.let { Exchange.Charge(it, charge) })
-    }
+    ): ForwardRequest =
+        ForwardRequest(
+            id = id,
+            route = route,
+            service = route.destination(traffic.random),
+            workspace = policy?.id,
+            rank = policy?.rank ?: route.rank,
+            receivedAt = received.receivedAt,
+            deadline = received.receivedAt + minOf(head.timeLimit ?: route.timeLimit, route.timeLimit),
+            promptTokens = head.promptTokens,
+            answerTokens = head.answerTokens,
+            promptParts = head.promptParts,
+        )
 
-    private fun exchange(received: ReceivedRequest, caller: CallerConnection, admitted: Outcome.Admitted): Exchange {
+    private fun exchange(received: ReceivedRequest, caller: CallerConnection, admitted: Admitted): Exchange {
         traffic.retries.requested(admitted.request.service, traffic.table.entries.size, received.receivedAt)
         return Exchange(traffic, caller, admitted.request, received.head, received.body, admitted.charge)
     }
@@ -84,21 +102,21 @@
     }
 
     /** What is unknown here may be known in a newer configuration that has not reached this entry. */
-    private fun unknown(status: Int, code: String): Outcome {
+    private fun unknown(status: Int, code: String): Denial {
         val age = traffic.keyAge()
         if (age == null || age > CURRENT_AGE) return refused(RefusalCause.NO_CONFIGURATION)
-        return Outcome.Unknown(status, code)
+        return Denial.Unknown(status, code)
     }
 
-    private fun refused(cause: RefusalCause): Outcome =
-        Outcome.Refused(cause, Random.nextInt(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS).milliseconds)
+    private fun refused(cause: RefusalCause): Denial =
+        Denial.Refused(cause, Random.nextInt(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS).milliseconds)
 
-    private sealed interface Outcome {
-        class Admitted(val request: ForwardRequest, val charge: Exchange.Charge?) : Outcome
+    private class Admitted(val request: ForwardRequest, val charge: Exchange.Charge?)
 
-        class Refused(val cause: RefusalCause, val retryAfter: Duration) : Outcome
+    private sealed interface Denial {
+        class Refused(val cause: RefusalCause, val retryAfter: Duration) : Denial
 
-        class Unknown(val status: Int, val code: String) : Outcome
+        class Unknown(val status: Int, val code: String) : Denial
     }
 
     private companion object {
