--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
@@ -38,7 +38,7 @@
         val reclaimable = reclaimableCounts(state, wanted, needed)
         val orders =
             reclaimable.mapNotNull { (zone, count) -> reclaimableOrder(state, zone, count, wanted[zone] ?: 0) }
-        return orders + otherOrders(state, maxOf(needed, wanted.values.sum() / 2))
+        return orders + otherOrders(state, needed.coerceIn(wanted.values.sum() / 2, wanted.values.sum()))
     }
 
     /** An order was accepted or refused at [now]. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryTable.kt
@@ -66,7 +66,7 @@
 
     public companion object {
         /** Time without a beat after which callers are no longer sent to an entry. */
-        public val LIFETIME: Duration = 1_500.milliseconds
+        public val LIFETIME: Duration = 1_200.milliseconds
         private val ISOLATED_LIFETIME = 4.seconds
         private val BASE_INTERVAL = 400.milliseconds
         private val FORGET_AFTER = 60.seconds
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Control.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Control.kt
@@ -32,7 +32,6 @@
     private val log: DecisionLog,
 ) {
     private val health = StoreHealth(log)
-    private val clock = SuspensionAwareClock()
     private val servers = ServerList()
     private val drained = HashSet<AvailabilityZone>()
 
@@ -55,7 +54,7 @@
             store = store,
             health = health,
             log = log,
-            clock = clock,
+            clock = traffic.clock,
             kind = source.configurationKind,
             wait = CONFIGURATION_WAIT,
             isProbe = true,
@@ -69,7 +68,7 @@
             store = store,
             health = health,
             log = log,
-            clock = clock,
+            clock = traffic.clock,
             kind = source.serverKind,
             wait = LIST_WAIT,
             pause = GATHERING_PAUSE,
@@ -82,7 +81,7 @@
             store = store,
             health = health,
             log = log,
-            clock = clock,
+            clock = traffic.clock,
             kind = source.drainKind,
             wait = LIST_WAIT,
             listed = ::drainsListed,
@@ -211,7 +210,7 @@
     fun now(): MonotonicTime = traffic.now()
 
     private companion object {
-        val CONFIGURATION_WAIT: Duration = 2.seconds
+        val CONFIGURATION_WAIT: Duration = 800.milliseconds
         val LIST_WAIT: Duration = 20.seconds
 
         /** Well below the time in which an entry must heed that a server leaves. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -46,7 +46,7 @@
         control.start(scope, controlLoop)
         peers.start(controlGroup, scope)
         made.duties?.let { duties ->
-            val lease = DutyLease(made.store, settings.name, run, SuspensionAwareClock()::now)
+            val lease = DutyLease(made.store, settings.name, run, traffic.clock::now)
             peers.dutyNumber = { lease.number ?: 0 }
             Duties(control, peers, lease, duties, traffic.usage, settings.name, log).start(scope)
         }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmission.kt
@@ -6,6 +6,7 @@
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import io.netty.handler.codec.http.HttpHeaderNames
+import org.yuccajunction.control.LogEvent
 import org.yuccajunction.forward.ForwardConfiguration
 import org.yuccajunction.forward.ForwardRequest
 import org.yuccajunction.forward.ForwardRoute
@@ -22,18 +23,30 @@
             is Either.Right -> caller.begin(exchange(received, caller, decided.value))
             is Either.Left -> {
                 received.body.release()
-                deny(decided.value, caller)
+                deny(decided.value, received, caller)
             }
         }
     }
 
-    private fun deny(denial: Denial, caller: CallerConnection) {
+    private fun deny(denial: Denial, received: ReceivedRequest, caller: CallerConnection) {
+        log(denial, received)
         when (denial) {
             is Denial.Refused -> caller.refuse(denial.cause.status, denial.cause.code, denial.retryAfter)
             is Denial.Unknown -> caller.fail(denial.status, denial.code)
         }
     }
 
+    private fun log(denial: Denial, received: ReceivedRequest) {
+        traffic.log.write(LogEvent.FORWARD_ENDED) {
+            field("request", traffic.wire.readRequest(received.head.headers()).id)
+            field("outcome", denial.code)
+            field("host", received.head.headers().get(HttpHeaderNames.HOST))
+            field("path", received.head.uri().substringBefore('?').take(MAX_LOGGED_PATH))
+            field("revision", traffic.table.configuration?.revision)
+            field("revisionAgeMillis", traffic.keyAge()?.inWholeMilliseconds)
+        }
+    }
+
     private fun decide(received: ReceivedRequest): Either<Denial, Admitted> =
         either {
             val configuration = ensureNotNull(traffic.table.configuration) { refused(RefusalCause.NO_CONFIGURATION) }
@@ -114,9 +127,13 @@
     private class Admitted(val request: ForwardRequest, val charge: Exchange.Charge?)
 
     private sealed interface Denial {
-        class Refused(val cause: RefusalCause, val retryAfter: Duration) : Denial
+        val code: String
+
+        class Refused(val cause: RefusalCause, val retryAfter: Duration) : Denial {
+            override val code: String get() = cause.code
+        }
 
-        class Unknown(val status: Int, val code: String) : Denial
+        class Unknown(val status: Int, override val code: String) : Denial
     }
 
     private companion object {
@@ -124,9 +141,10 @@
         const val BAD_REQUEST = 400
         const val UNAUTHORIZED = 401
         const val MAX_OPEN = 1_000
+        const val MAX_LOGGED_PATH = 100
         const val MIN_WAIT_MILLIS = 200
         const val MAX_WAIT_MILLIS = 700
-        val KEY_MARGIN = 400.milliseconds
-        val CURRENT_AGE = 2_800.milliseconds
+        val KEY_MARGIN = 150.milliseconds
+        val CURRENT_AGE = 1_900.milliseconds
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
@@ -69,7 +69,7 @@
 
     /** Watches, but gives up as soon as the store is known to be away, as the connection may be silent for good. */
     private suspend fun watch(after: ObjectVersion): ObjectListing? {
-        if (isProbe) return store.watch(kind, after, wait)
+        if (isProbe) return store.watch(kind, after, if (health.isUp.value) wait else PROBE_WAIT)
         var listing: ObjectListing? = null
         coroutineScope {
             val watch = launch { listing = store.watch(kind, after, wait) }
@@ -96,6 +96,8 @@
     }
 
     private companion object {
+        /** Wait of a watch that asks whether the store is back. */
+        val PROBE_WAIT: Duration = 20.milliseconds
         const val MIN_PAUSE_MILLIS = 80L
         const val MAX_PAUSE_MILLIS = 250L
     }
