--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
@@ -86,15 +86,20 @@
         return order.takeIf { isDue }
     }
 
-    /** Orders servers that can't be taken away in place of what is missing, and gives back what is not needed. */
+    /**
+     * Orders servers that can't be taken away in place of what is missing, and gives back what is not needed.
+     *
+     * While reclaimable servers are refused anywhere, there should be enough without those of any one zone.
+     */
     private fun otherOrders(state: State, needed: Int): List<CapacityOrder> {
         val zones = state.rule.zonePrices.entries.sortedBy { it.value }.map { it.key }
         val present = zones.associateWith { state.present(it, isReclaimable = false) }
         val ordered = zones.associateWith { maxOf(present.getValue(it), coming(state, it, isReclaimable = false)) }
         val serving = zones.sumOf { state.warm(it) }
-        val started = zones.sumOf { maxOf(state.present(it, true), coming(state, it, isReclaimable = true)) }
-        val missing = needed - started - ordered.values.sum()
-        val surplus = if (serving < needed) 0 else present.values.sum()
+        val started = zones.associateWith { maxOf(state.present(it, true), coming(state, it, isReclaimable = true)) }
+        val reserve = if (zones.any { isRefused(state, it) }) started.values.max() else 0
+        val missing = needed + reserve - started.values.sum() - ordered.values.sum()
+        val surplus = if (serving < needed + reserve) 0 else present.values.sum()
         return when {
             missing > 0 -> raised(state, zones, ordered, missing)
             surplus > 0 -> lowered(state, zones.reversed(), present, surplus)
