--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/FleetModel.kt
@@ -0,0 +1,171 @@
+package org.yuccajunction.fleet
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.yuccajunction.forward.AttemptEnd
+import org.yuccajunction.forward.Destination
+import org.yuccajunction.forward.EngineShape
+import org.yuccajunction.forward.ForwardConfiguration
+import org.yuccajunction.forward.ForwardFixture
+import org.yuccajunction.forward.ForwardRequest
+import org.yuccajunction.forward.ForwardRoute
+import org.yuccajunction.forward.ForwardService
+import org.yuccajunction.forward.PromptPart
+import org.yuccajunction.model.AvailabilityZone
+import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.Revision
+import org.yuccajunction.model.ServiceName
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Drives the real choices of many entries against modelled engines under a hand-moved clock.
+ *
+ * @property chooses the choice that is tried; null for that of the product
+ */
+class FleetModel(
+    seed: Int,
+    entries: Int = 8,
+    servers: Int = 8,
+    private val chooses: ((List<ModelEngine>, Random) -> ModelEngine)? = null,
+) {
+    /** A class of requests: a long report, a short question. */
+    class Kind(
+        val perSecond: Double,
+        val sharedTokens: Int,
+        val ownTokens: Int,
+        val answerTokens: Int,
+        val prompts: Int,
+        val targetMillis: Double,
+    )
+
+    private val random = Random(seed)
+    private val service = ForwardService(ServiceName("service"), 400, engine = EngineShape(64, 444_000))
+    private val engines = (1..servers).map { ModelEngine(ForwardFixture.server("server-$it")) }
+    private val names = (1..entries).map { "entry-$it" }
+    private val loads = names.map { FleetLoads(it, AvailabilityZone("zone-a"), Random(random.nextInt())) }
+    private var requests = 0
+    private var time = 0.0
+    private var lost = emptySet<ModelEngine>()
+
+    var asked = 0
+        private set
+    var inTime = 0
+        private set
+    var refused = 0
+        private set
+
+    val sharedTokensRead: Long get() = engines.sumOf { it.sharedTokensRead }
+
+    init {
+        tellServers()
+    }
+
+    private fun now() = MonotonicTime.ZERO + time.milliseconds
+
+    private fun tellServers() {
+        val configuration =
+            ForwardConfiguration(Revision(1), persistentListOf(), persistentMapOf(service.name to service))
+        val listed = (engines - lost).map { it.server }.associateBy { it.id }.toPersistentMap()
+        val table = FleetTable(configuration, listed, entries = names.toPersistentList())
+        loads.forEach { it.update(table, now()) }
+    }
+
+    /** The first [count] engines are gone from now on. */
+    fun lose(count: Int) {
+        lost = engines.take(count).toSet()
+        tellServers()
+    }
+
+    /** Lets requests of [kinds] arrive for [millis] milliseconds; [hotShare] of each kind is about one prompt. */
+    fun play(millis: Int, kinds: List<Kind>, hotShare: Double = 0.0) {
+        repeat(millis) {
+            time += 1.0
+            for (engine in engines) engine.workUntil(time)
+            for (kind in kinds) {
+                if (random.nextDouble() < kind.perSecond / 1_000) arrive(kind, hotShare)
+            }
+        }
+    }
+
+    private fun arrive(kind: Kind, hotShare: Double) {
+        asked += 1
+        val request = request(kind, hotShare)
+        val entry = loads[random.nextInt(loads.size)]
+        val chosen = choose(entry, request)
+        if (chosen == null) {
+            refused += 1
+            return
+        }
+        val ticket = entry.began(chosen.server, request, now())
+        val arrivedAt = time
+        val run =
+            ModelEngine.Run(
+                request,
+                answered = { at ->
+                    entry.answered(ticket, MonotonicTime.ZERO + at.milliseconds)
+                    entry.reported(chosen.server.id, chosen.load, MonotonicTime.ZERO + at.milliseconds)
+                    if (at - arrivedAt <= kind.targetMillis) inTime += 1
+                },
+                ended = { at -> entry.ended(ticket, null as AttemptEnd?, MonotonicTime.ZERO + at.milliseconds) },
+            )
+        chosen.add(run, time)
+    }
+
+    private fun choose(entry: FleetLoads, request: ForwardRequest): ModelEngine? {
+        chooses?.let { return it(engines - lost, random) }
+        val choice = entry.choose(ServerQuery(request), now()) as? ServerChoice.Use ?: return null
+        return engines.first { it.server.id == choice.server.id }
+    }
+
+    private fun request(kind: Kind, hotShare: Double): ForwardRequest {
+        requests += 1
+        val prompt = if (random.nextDouble() < hotShare) 0 else random.nextInt(kind.prompts)
+        val route =
+            ForwardRoute(
+                name = "route",
+                host = "host",
+                pathPrefix = "/",
+                destinations = persistentListOf(Destination(service.name)),
+                isStream = true,
+                mayRepeat = true,
+                timeLimit = 8.seconds,
+                target = kind.targetMillis.milliseconds,
+            )
+        return ForwardRequest(
+            id = "request-$requests",
+            route = route,
+            service = service.name,
+            workspace = null,
+            rank = 0,
+            receivedAt = now(),
+            deadline = now() + 8.seconds,
+            promptTokens = kind.sharedTokens + kind.ownTokens,
+            answerTokens = kind.answerTokens,
+            promptParts =
+            persistentListOf(
+                PromptPart("shared-${kind.sharedTokens}-$prompt", kind.sharedTokens),
+                PromptPart("own-$requests", kind.ownTokens),
+            ),
+        )
+    }
+
+    companion object {
+        val REPORT =
+            Kind(12.3, sharedTokens = 5_382, ownTokens = 6_610, answerTokens = 378, prompts = 78, targetMillis = 800.0)
+        val QUESTION =
+            Kind(46.1, sharedTokens = 198, ownTokens = 628, answerTokens = 288, prompts = 658, targetMillis = 800.0)
+        val TAG =
+            Kind(33.3, sharedTokens = 568, ownTokens = 1_800, answerTokens = 27, prompts = 211, targetMillis = 1_500.0)
+        val USUAL = listOf(REPORT, QUESTION, TAG)
+
+        /** [kinds] with [factor] times as many requests. */
+        fun times(factor: Double, kinds: List<Kind> = USUAL): List<Kind> =
+            kinds.map {
+                Kind(it.perSecond * factor, it.sharedTokens, it.ownTokens, it.answerTokens, it.prompts, it.targetMillis)
+            }
+    }
+}
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/BoundedLineAppender.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/BoundedLineAppender.kt
@@ -16,6 +16,9 @@
     private val lines = ArrayBlockingQueue<String>(CAPACITY_LINES)
     private val dropped = AtomicLong()
 
+    /** The line that woke the writer and waits for its batch; guarded by this object's lock. */
+    private var first: String? = null
+
     override fun start() {
         super.start()
         thread(name = "log-writer", isDaemon = true, block = ::writeLines)
@@ -26,22 +29,25 @@
     }
 
     /** Writes what is queued; for the end of the process. */
+    @Synchronized
     public fun flush() {
-        writeBatch(ArrayList<String>().also { lines.drainTo(it) })
+        val batch = ArrayList<String>()
+        first?.let(batch::add)
+        first = null
+        lines.drainTo(batch)
+        write(batch)
     }
 
     private fun writeLines() {
         while (true) {
-            val batch = ArrayList<String>()
-            batch += lines.take()
+            val next = lines.take()
+            synchronized(this) { first = next }
             Thread.sleep(BATCH_MILLIS)
-            lines.drainTo(batch)
-            writeBatch(batch)
+            flush()
         }
     }
 
-    @Synchronized
-    private fun writeBatch(batch: List<String>) {
+    private fun write(batch: List<String>) {
         val text = StringBuilder()
         batch.forEach { text.append(it).append('\n') }
         val lost = dropped.getAndSet(0)
