--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -92,7 +92,7 @@
         actions.complete()
     }
 
-    /** The caller has gone; what still runs for it is cancelled unless it can't be repeated and is nearly done. */
+    /** The caller has gone; what still runs for it is cancelled. */
     public fun callerLeft() {
         if (isEnded) return
         isEnded = true
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Control.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Control.kt
@@ -1,7 +1,6 @@
 package org.yuccajunction.gateway
 
 import arrow.core.Either
-import io.netty.channel.EventLoop
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.CoroutineScope
@@ -38,15 +37,12 @@
     var table = FleetTable()
         private set
 
-    val isStoreUp: Boolean get() = health.isUp.value
-
-    fun start(scope: CoroutineScope, loop: EventLoop) {
+    fun start(scope: CoroutineScope) {
         scope.launch { configurationFollower().run() }
         scope.launch { serverFollower().run() }
         scope.launch { drainFollower().run() }
         scope.launch { watchHealth() }
         scope.launch { housekeep() }
-        check(loop.inEventLoop() || !loop.isShuttingDown) { "the control loop is shut down" }
     }
 
     private fun configurationFollower() =
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -10,8 +10,8 @@
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.duty.DutyLease
 import java.util.concurrent.TimeUnit
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -43,7 +43,7 @@
         control = Control(traffic, made.store, made.source, log)
         peers = Peers(traffic, control, made.store, log, run)
         val scope = CoroutineScope(SupervisorJob() + controlLoop.asCoroutineDispatcher() + failures())
-        control.start(scope, controlLoop)
+        control.start(scope)
         peers.start(controlGroup, scope)
         made.duties?.let { duties ->
             val lease = DutyLease(made.store, settings.name, run, traffic.clock::now)
@@ -88,7 +88,7 @@
         val last = settings.bounds.stopGrace - ABORT_MARGIN
         while (true) {
             Thread.sleep(POLL_MILLIS)
-            val passed = (System.nanoTime() - startedAt).nanoseconds()
+            val passed = (System.nanoTime() - startedAt).nanoseconds
             if (passed >= last || passed >= LEAST_STOPPING && openExchanges() == 0) break
         }
         traffic.loop.submit(traffic::abort).await(POLL_MILLIS, TimeUnit.MILLISECONDS)
@@ -97,15 +97,12 @@
 
     private fun openExchanges(): Int = traffic.loop.submit<Int> { traffic.openExchanges }.get()
 
-    private fun Long.nanoseconds(): Duration = (this / NANOS_PER_MILLI).milliseconds
-
     private fun group(name: String) =
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory(name, true), NioIoHandler.newFactory())
 
     private companion object {
         const val OK = 200
         const val POLL_MILLIS = 50L
-        const val NANOS_PER_MILLI = 1_000_000L
         val ABORT_MARGIN = 600.milliseconds
         val LEAST_STOPPING = 3.seconds
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/GatewaySettings.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/GatewaySettings.kt
@@ -2,8 +2,6 @@
 
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.Endpoint
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * The settings of one gateway process.
@@ -17,7 +15,6 @@
  * @property storeEndpoint the platform's object API
  * @property dutyEndpoint the platform's API for usage and capacity, null where there is none
  * @property bounds bounds that hold over all entries
- * @property memoryMegabytes memory that the process may take
  */
 public data class GatewaySettings(
     public val name: String,
@@ -30,9 +27,4 @@
     public val storeEndpoint: Endpoint,
     public val dutyEndpoint: Endpoint? = null,
     public val bounds: GatewayBounds = GatewayBounds(),
-    public val memoryMegabytes: Int = DEFAULT_MEMORY_MEGABYTES,
-) {
-    private companion object {
-        const val DEFAULT_MEMORY_MEGABYTES = 256
-    }
-}
+)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
@@ -5,7 +5,6 @@
 import org.yuccajunction.allowance.UsageWindows
 import org.yuccajunction.allowance.WorkspaceAllowances
 import org.yuccajunction.entries.EntryBeat
-import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.fleet.FleetLoads
 import org.yuccajunction.fleet.FleetTable
 import org.yuccajunction.forward.ForwardEnvironment
@@ -139,9 +138,6 @@
         }
     }
 
-    /** Returns whether [server] is still listed as the same run. */
-    fun isListed(server: BackendServer): Boolean = table.servers[server.id]?.isSameRun(server) == true
-
     private companion object {
         const val TICK_MILLIS = 40L
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/WireProtocol.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/WireProtocol.kt
@@ -16,7 +16,4 @@
 
     /** Reads the head of a backend server's answer. */
     public fun readAnswer(response: HttpResponse): AnswerHead
-
-    /** Removes from [headers], which are a server's, what vouches for an answer that is not passed on as it is. */
-    public fun removeSignature(headers: HttpHeaders)
 }
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
@@ -29,8 +29,4 @@
             keepAliveSeconds = null,
             endsConnection = response.headers().contains("connection", "close", true),
         )
-
-    override fun removeSignature(headers: HttpHeaders) {
-        headers.remove("signature")
-    }
 }
