--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -24,7 +24,9 @@
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.net.SocketException
 import java.net.SocketTimeoutException
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The data path of one entry on loopback, before the [servers] that a test scripts. */
@@ -99,7 +101,7 @@
         }
 
     override fun close() {
-        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS)
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
     }
 
     companion object {
@@ -123,7 +125,7 @@
                 }
             } catch (_: SocketTimeoutException) {
                 text.append("<silent>")
-            } catch (_: java.net.SocketException) {
+            } catch (_: SocketException) {
                 text.append("<reset>")
             }
             return text.toString()
