Tell many entries of each other in few bytes; lose no line that is flushed; forget what entries that are gone had spent

Now a beat goes to 16 peers in their turn with signs of life of others, usage goes to its keepers only, and a new entry is introduced by others.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/allowance/WorkspaceAllowances.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/allowance/WorkspaceAllowances.kt
@@ -31,14 +31,19 @@
     /** Returns what this entry has admitted so far, by workspace. */
     public fun admitted(): Map<WorkspaceId, Double> = meters.mapValues { it.value.admitted }
 
-    /** The entry [peer] told in the run [run] that it has admitted [admitted] so far; [entries] are alive. */
-    public fun told(peer: String, run: Long, admitted: Map<WorkspaceId, Double>, entries: Int, now: MonotonicTime) {
-        this.entries = maxOf(1, entries)
+    /** The entry [peer] told in the run [run] that it has admitted [admitted] so far. */
+    public fun told(peer: String, run: Long, admitted: Map<WorkspaceId, Double>, now: MonotonicTime) {
         for ((workspace, amount) in admitted) {
             meters.getOrPut(workspace) { WorkspaceMeter(now) }.told(peer, run, amount, now)
         }
     }
 
+    /** The entries with the names [live] are known to live, this one included; what others spent is soon forgotten. */
+    public fun entriesChanged(live: Set<String>, now: MonotonicTime) {
+        entries = maxOf(1, live.size)
+        meters.values.forEach { it.forget(live, now) }
+    }
+
     private fun meter(policy: WorkspacePolicy, now: MonotonicTime): WorkspaceMeter =
         meters.getOrPut(policy.id) { WorkspaceMeter(now) }
 }
@@ -76,6 +81,10 @@
         level = level?.minus(spent)
     }
 
+    fun forget(live: Set<String>, now: MonotonicTime) {
+        peers.entries.removeIf { (name, spending) -> name !in live && spending.isForgotten(now) }
+    }
+
     private fun refill(policy: WorkspacePolicy, entries: Int, now: MonotonicTime) {
         val seconds = (now - refilledAt).toDouble(DurationUnit.SECONDS)
         refilledAt = now
@@ -116,6 +125,9 @@
         return spent
     }
 
+    /** Whether the peer has told nothing for longer than its spending can matter, if it is not known to live. */
+    fun isForgotten(now: MonotonicTime): Boolean = now - toldAt > LIFETIME
+
     fun rate(now: MonotonicTime): Double = if (now - toldAt > MEMORY) 0.0 else ratePerSecond
 
     /** Returns what the peer is taken to have spent since it last told. */
@@ -127,5 +139,6 @@
     private companion object {
         const val SMOOTHING = 0.6
         val MEMORY = 3.seconds
+        val LIFETIME = 8.seconds
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryBeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryBeat.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What an entry tells its peers a few times a second, in one datagram.
+ * What an entry tells its peers of itself.
  *
  * @property name name of its instance
  * @property run Unix time of its start in milliseconds; a later run has the larger number
@@ -16,7 +16,6 @@
  * @property dutyNumber its fencing number while it holds the duties, 0 otherwise
  * @property openRequests its requests that are at backend servers, by service
  * @property admitted what it has admitted so far, by workspace
- * @property usage its counts of requests that began to run, by window and workspace
  */
 @Serializable
 public data class EntryBeat(
@@ -31,5 +30,4 @@
     public val dutyNumber: Long = 0,
     public val openRequests: Map<String, Int> = emptyMap(),
     public val admitted: Map<String, Double> = emptyMap(),
-    public val usage: Map<Long, Map<String, Int>> = emptyMap(),
 )
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/allowance/WorkspaceAllowancesTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/allowance/WorkspaceAllowancesTest.kt
@@ -19,11 +19,13 @@
             burst = 160_000.0,
         )
 
-    /** Many entries under a hand-moved clock, each told by all others every 400 ms, with a delay of up to 100 ms. */
-    private inner class Entries(count: Int, seed: Int, private val isSilent: Boolean = false) {
+    /** Many entries under a hand-moved clock; each tells up to 16 others at a time, all of them in turn. */
+    private inner class Entries(private val count: Int, seed: Int) {
         private val random = Random(seed)
         private val meters = List(count) { WorkspaceAllowances() }
         private val admittedAt = ArrayList<Pair<Int, Double>>()
+        private var rounds = 0
+        var live = count
         var refused = 0
             private set
         var asked = 0
@@ -31,23 +33,29 @@
 
         fun play(tokensPerSecond: Int, millis: IntRange) {
             val perRequest = 6_000
+            refused = 0
+            asked = 0
             for (time in millis) {
                 val now = MonotonicTime.ZERO + time.milliseconds
-                if (time % TELL_MILLIS == 0 && !isSilent) tell(now)
+                if (time % TELL_MILLIS == 0) tell(now)
                 if (random.nextDouble() >= tokensPerSecond / 1_000.0 / perRequest) continue
                 val charge = random.nextInt(1, 2 * perRequest).toDouble()
                 asked += 1
-                val isAdmitted = meters[random.nextInt(meters.size)].take(policy, charge, now)
+                val isAdmitted = meters[random.nextInt(live)].take(policy, charge, now)
                 if (isAdmitted) admittedAt += time to charge else refused += 1
             }
         }
 
         private fun tell(now: MonotonicTime) {
-            for ((index, meter) in meters.withIndex()) {
-                for ((other, receiver) in meters.withIndex()) {
-                    if (other != index) receiver.told("entry-$index", 1, meter.admitted(), meters.size, now)
+            val names = (0 until live).mapTo(HashSet()) { "entry-$it" }
+            meters.take(live).forEach { it.entriesChanged(names, now) }
+            for (index in 0 until live) {
+                for (target in 1..minOf(MAX_TARGETS, count - 1)) {
+                    val receiver = (index + 1 + (rounds * MAX_TARGETS + target - 1) % (count - 1)) % count
+                    meters[receiver].told("entry-$index", 1, meters[index].admitted(), now)
                 }
             }
+            rounds += 1
         }
 
         fun worstWindow(length: Int): Double =
@@ -68,6 +76,28 @@
         }
     }
 
+    @Test
+    fun `a workspace at many times its usual stays within its allowance over 67 entries`() {
+        for (seed in 1..5) {
+            val entries = Entries(count = 67, seed = seed)
+            entries.play(90_000, 0..3_000)
+            entries.play(650_000, 3_001..14_000)
+            val worst = entries.worstWindow(8_000)
+            val bound = (8 * 160_000 + 160_000) * 1.1 + 140_000
+            assertTrue(worst <= bound, "seed $seed: $worst tokens in 8 s, bound $bound")
+        }
+    }
+
+    @Test
+    fun `entries that are gone take nothing out of an allowance for long`() {
+        val entries = Entries(count = 8, seed = 1)
+        entries.play(90_000, 0..5_000)
+        entries.live = 2
+        entries.play(90_000, 5_001..14_000)
+        entries.play(90_000, 14_001..24_000)
+        assertTrue(entries.refused * 50 <= entries.asked, "${entries.refused} of ${entries.asked}")
+    }
+
     @Test
     fun `a workspace within its allowance is hardly ever refused`() {
         for (seed in 1..5) {
@@ -94,5 +124,6 @@
 
     private companion object {
         const val TELL_MILLIS = 400
+        const val MAX_TARGETS = 16
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/BoundedLineAppender.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/BoundedLineAppender.kt
@@ -4,6 +4,7 @@
 import ch.qos.logback.core.AppenderBase
 import java.io.OutputStream
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.Semaphore
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
@@ -16,8 +17,8 @@
     private val lines = ArrayBlockingQueue<String>(CAPACITY_LINES)
     private val dropped = AtomicLong()
 
-    /** The line that woke the writer and waits for its batch; guarded by this object's lock. */
-    private var first: String? = null
+    /** Holds a permit while lines wait for the writer; a line leaves the queue only to be written. */
+    private val waiting = Semaphore(0)
 
     override fun start() {
         super.start()
@@ -26,23 +27,22 @@
 
     override fun append(event: ILoggingEvent) {
         if (!lines.offer(LogLine.of(event))) dropped.incrementAndGet()
+        if (waiting.availablePermits() == 0) waiting.release()
     }
 
     /** Writes what is queued; for the end of the process. */
     @Synchronized
     public fun flush() {
         val batch = ArrayList<String>()
-        first?.let(batch::add)
-        first = null
         lines.drainTo(batch)
         write(batch)
     }
 
     private fun writeLines() {
         while (true) {
-            val next = lines.take()
-            synchronized(this) { first = next }
+            waiting.acquire()
             Thread.sleep(BATCH_MILLIS)
+            waiting.drainPermits()
             flush()
         }
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -83,7 +83,7 @@
     public fun stop() {
         log.write(LogEvent.SHUTDOWN_BEGUN)
         traffic.loop.execute(traffic::stop)
-        controlGroup.execute(peers::exchange)
+        controlGroup.execute { peers.exchange(isToEveryone = true) }
         val startedAt = System.nanoTime()
         val last = settings.bounds.stopGrace - ABORT_MARGIN
         while (true) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
@@ -19,8 +19,10 @@
 import org.yuccajunction.allowance.UsageTotals
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.entries.EntryBeat
+import org.yuccajunction.entries.EntryMessage
 import org.yuccajunction.entries.EntryTable
 import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.port.ExpectedVersion
 import org.yuccajunction.port.ObjectListing
@@ -48,6 +50,7 @@
     private val settings = traffic.settings
     private val unreported = ArrayList<EntryBeat>()
     private var sequence = 0L
+    private var usageToldAt: MonotonicTime? = null
     private var ownOpenRequests: Map<String, Int> = emptyMap()
     private lateinit var channel: Channel
 
@@ -107,37 +110,44 @@
         }
     }
 
-    /** Hands what peers told to the traffic thread and tells the peers what that thread reports. */
-    fun exchange() {
+    /** Hands what peers told to the traffic thread and tells peers what that thread reports. */
+    fun exchange(isToEveryone: Boolean = false) {
         val told = unreported.toList()
         unreported.clear()
-        val live = table.live(traffic.now())
-        control.entriesChanged((live.map { it.name } + settings.name).sorted())
+        val live = table.live(traffic.now()).map { it.name } + settings.name
+        control.entriesChanged(live.sorted())
         traffic.loop.execute {
-            traffic.told(told, live.size + 1)
+            traffic.told(told, live.toSet())
             val report = traffic.report()
-            channel.eventLoop().execute { send(report) }
+            channel.eventLoop().execute { send(report, isToEveryone) }
         }
     }
 
-    private fun send(report: TrafficReport) {
+    private fun send(report: TrafficReport, isToEveryone: Boolean) {
         sequence += 1
         ownOpenRequests = report.openRequests
         totals.learn("${settings.name}/$run", report.usage)
-        val beat = beat(report)
         val now = traffic.now()
-        val rumours = table.rumours(now)
-        for (target in table.targets(now, Random)) {
-            val endpoint = Endpoint.parse(target) ?: continue
-            val address = InetSocketAddress(endpoint.host, endpoint.port)
-            for (content in rumours + beat) {
-                val bytes = Unpooled.wrappedBuffer(ProtoBuf.encodeToByteArray(content))
-                channel.write(DatagramPacket(bytes, address))
-            }
-        }
+        val usual = EntryMessage(beat(report), table.lifeSigns(now), table.news(now))
+        val keepers = if (isUsageDue(now)) table.keepers(now) else emptySet()
+        val targets = if (isToEveryone) table.everyone() else table.targets(now, Random)
+        (targets - keepers).forEach { send(usual, it) }
+        keepers.forEach { send(usual.copy(usage = report.usage), it) }
         channel.flush()
     }
 
+    private fun isUsageDue(now: MonotonicTime): Boolean {
+        val isDue = usageToldAt?.let { now - it >= USAGE_INTERVAL } ?: true
+        if (isDue) usageToldAt = now
+        return isDue
+    }
+
+    private fun send(message: EntryMessage, target: String) {
+        val endpoint = Endpoint.parse(target) ?: return
+        val bytes = Unpooled.wrappedBuffer(ProtoBuf.encodeToByteArray(message))
+        channel.write(DatagramPacket(bytes, InetSocketAddress(endpoint.host, endpoint.port)))
+    }
+
     private fun beat(report: TrafficReport): EntryBeat =
         EntryBeat(
             name = settings.name,
@@ -151,22 +161,24 @@
             dutyNumber = dutyNumber(),
             openRequests = report.openRequests,
             admitted = report.admitted,
-            usage = report.usage,
         )
 
     private fun heard(bytes: ByteArray) {
-        val beat =
+        val message =
             try {
-                ProtoBuf.decodeFromByteArray<EntryBeat>(bytes)
+                ProtoBuf.decodeFromByteArray<EntryMessage>(bytes)
             } catch (exception: SerializationException) {
                 return log.write(LogEvent.OBJECT_UNREADABLE) {
                     field("key", "beat")
                     field("detail", exception.message)
                 }
             }
-        if (!table.heard(beat, traffic.now())) return
-        totals.learn("${beat.name}/${beat.run}", beat.usage)
-        unreported += beat
+        val now = traffic.now()
+        table.heardOf(message.signs, now)
+        message.news.forEach { table.introduced(it, now) }
+        if (!table.heard(message.beat, now)) return
+        totals.learn("${message.beat.name}/${message.beat.run}", message.usage)
+        unreported += message.beat
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -191,5 +203,6 @@
         const val MAX_JITTER = 1.1
         val RETRY_PAUSE = 500.milliseconds
         val LIST_INTERVAL = 20.seconds
+        val USAGE_INTERVAL = 800.milliseconds
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
@@ -130,11 +130,12 @@
             openRequests = loads.openRequests().mapKeys { it.key.value },
         )
 
-    /** Takes over what peers told. */
-    fun told(beats: List<EntryBeat>, entries: Int) {
+    /** Takes over what peers told; [live] are the names of the entries that live, this one included. */
+    fun told(beats: List<EntryBeat>, live: Set<String>) {
         val now = now()
+        allowances.entriesChanged(live, now)
         for (beat in beats) {
-            allowances.told(beat.name, beat.run, beat.admitted.mapKeys { WorkspaceId(it.key) }, entries, now)
+            allowances.told(beat.name, beat.run, beat.admitted.mapKeys { WorkspaceId(it.key) }, now)
         }
     }
 
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/BoundedLineAppenderTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/BoundedLineAppenderTest.kt
@@ -3,6 +3,7 @@
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.spi.LoggingEvent
+import java.io.ByteArrayOutputStream
 import java.io.OutputStream
 import java.util.concurrent.CountDownLatch
 import kotlin.test.Test
@@ -46,4 +47,20 @@
         }
         expected.forEach { assertTrue(it in output.written, it) }
     }
+
+    @Test
+    fun `a line is written by the flush that follows it`() {
+        val context = LoggerContext()
+        val logger = context.getLogger("test")
+        repeat(2_000) {
+            val output = ByteArrayOutputStream()
+            val appender = BoundedLineAppender(output)
+            appender.context = context
+            appender.start()
+            appender.doAppend(LoggingEvent("test", logger, Level.INFO, "line $it", null, null))
+            appender.flush()
+            assertTrue("\"message\":\"line $it\"" in output.toString(), "line $it is missing")
+            appender.stop()
+        }
+    }
 }
