--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrders.kt
@@ -9,10 +9,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Decides which servers to order: reclaimable ones in every availability zone, others only while those are too few.
+ * Decides which servers to order: reclaimable ones in every availability zone, others only in place of missing ones.
  *
- * What the platform takes away or refuses in one zone is ordered in the other zones. Where fewer serve than the open
- * requests need, servers that can't be taken away are ordered where they cost least. Confined to the control thread.
+ * What the platform takes away or refuses in one zone is ordered in the other zones; what is refused everywhere is
+ * replaced by servers that can't be taken away, where they cost least. Where open requests need more servers than there
+ * usually are, more reclaimable ones are ordered. Confined to the control thread.
  */
 public class CapacityOrders {
     private val orders = HashMap<OrderKey, LastOrder>()
@@ -38,7 +39,7 @@
         val reclaimable = reclaimableCounts(state, wanted, needed)
         val orders =
             reclaimable.mapNotNull { (zone, count) -> reclaimableOrder(state, zone, count, wanted[zone] ?: 0) }
-        return orders + otherOrders(state, needed.coerceIn(wanted.values.sum() / 2, wanted.values.sum()))
+        return orders + otherOrders(state, wanted.values.sum())
     }
 
     /** An order was accepted or refused at [now]. */
@@ -86,20 +87,15 @@
         return order.takeIf { isDue }
     }
 
-    /**
-     * Orders servers that can't be taken away in place of what is missing, and gives back what is not needed.
-     *
-     * While reclaimable servers are refused anywhere, there should be enough without those of any one zone.
-     */
-    private fun otherOrders(state: State, needed: Int): List<CapacityOrder> {
+    /** Orders servers that can't be taken away in place of what is missing, and gives back what is not needed. */
+    private fun otherOrders(state: State, wanted: Int): List<CapacityOrder> {
         val zones = state.rule.zonePrices.entries.sortedBy { it.value }.map { it.key }
         val present = zones.associateWith { state.present(it, isReclaimable = false) }
         val ordered = zones.associateWith { maxOf(present.getValue(it), coming(state, it, isReclaimable = false)) }
         val serving = zones.sumOf { state.warm(it) }
-        val started = zones.associateWith { maxOf(state.present(it, true), coming(state, it, isReclaimable = true)) }
-        val reserve = if (zones.any { isRefused(state, it) }) started.values.max() else 0
-        val missing = needed + reserve - started.values.sum() - ordered.values.sum()
-        val surplus = if (serving < needed + reserve) 0 else present.values.sum()
+        val started = zones.sumOf { maxOf(state.present(it, true), coming(state, it, isReclaimable = true)) }
+        val missing = wanted - started - ordered.values.sum()
+        val surplus = present.values.sum() - maxOf(0, wanted - serving)
         return when {
             missing > 0 -> raised(state, zones, ordered, missing)
             surplus > 0 -> lowered(state, zones.reversed(), present, surplus)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
@@ -9,6 +9,7 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.routing.RendezvousHash
+import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
@@ -109,11 +110,13 @@
     private fun homes(request: ForwardRequest): List<BackendServerId> {
         val last = shared(request).lastOrNull() ?: return emptyList()
         val key = RendezvousHash.hash(last.id)
-        return table
-            .candidates(request.service)
-            .sortedByDescending { RendezvousHash.score(RendezvousHash.hash(it.id.value), key) }
-            .take(HOME_TRUST.size)
-            .map { it.id }
+        val ranked = PriorityQueue<Pair<Long, BackendServerId>>(HOME_TRUST.size + 1, compareBy { it.first })
+        for (server in table.candidates(request.service)) {
+            val load = loads[server.id] ?: continue
+            ranked += RendezvousHash.score(load.hash, key) to server.id
+            if (ranked.size > HOME_TRUST.size) ranked.remove()
+        }
+        return ranked.sortedByDescending { it.first }.map { it.second }
     }
 
     /** Counts an attempt of [request] that is being sent to [server]. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
@@ -1,12 +1,15 @@
 package org.yuccajunction.fleet
 
 import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.routing.RendezvousHash
 import kotlin.math.exp
 import kotlin.math.pow
 import kotlin.time.DurationUnit
 
 /** What this entry knows of the load and the health of one run of a backend server. */
 internal class ServerLoad(var server: BackendServer, memoryTokens: Long, firstSeenAt: MonotonicTime) {
+    /** Hash of the server's identity, by which prompts find their homes. */
+    val hash = RendezvousHash.hash(server.id.value)
     val prefixes = PrefixMemory((memoryTokens * MEMORY_SHARE).toLong())
     var inFlight = 0
     var unreadTokens = 0
