--- a/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/proxy/ProxyRoute.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/proxy/ProxyRoute.kt
@@ -11,23 +11,24 @@
 import kotlin.concurrent.thread
 
 /** One listening port of the fault proxy and the connections through it. */
-internal class ProxyRoute(port: Int, @Volatile var target: Endpoint?) {
+public class ProxyRoute(port: Int, @Volatile public var target: Endpoint?) {
     private val listener = ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress())
     private val connections: MutableSet<ProxyConnection> = ConcurrentHashMap.newKeySet()
     private val accepted = AtomicInteger()
 
     @Volatile
-    var faults = ProxyFaults()
+    public var faults: ProxyFaults = ProxyFaults()
 
-    val port: Int get() = listener.localPort
+    public val port: Int get() = listener.localPort
 
     /** Connections accepted since the start. */
-    val acceptedConnections: Int get() = accepted.get()
+    public val acceptedConnections: Int get() = accepted.get()
 
     /** Connections open now. */
-    val openConnections: Int get() = connections.size
+    public val openConnections: Int get() = connections.size
 
-    fun start() {
+    /** Begins to take connections. */
+    public fun start() {
         thread(isDaemon = true, name = "route-$port") {
             while (true) {
                 open(listener.accept())
@@ -36,20 +37,20 @@
     }
 
     /** Ends every connection through this route. */
-    fun cut(reset: Boolean) = connections.forEach { it.close(reset) }
+    public fun cut(reset: Boolean): Unit = connections.forEach { it.close(reset) }
 
     /** Lets every open connection go silent for good; new ones work. */
-    fun silence() = connections.forEach { it.silent = true }
+    public fun silence(): Unit = connections.forEach { it.silent = true }
 
     /** Counts a connection as cut after a number of bytes; returns whether it is to be cut. */
     @Synchronized
-    fun takeCut(): Boolean {
+    internal fun takeCut(): Boolean {
         val remaining = faults.remainingCuts ?: return true
         if (remaining > 0) faults = faults.copy(remainingCuts = remaining - 1)
         return remaining > 0
     }
 
-    fun forget(connection: ProxyConnection) {
+    internal fun forget(connection: ProxyConnection) {
         connections -= connection
     }
 
