--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -56,4 +56,5 @@
         LogLevel.INFO,
         "The store no longer knows the changes since the last read; the objects are listed anew.",
     ),
+    LISTING_STALE(9013, LogLevel.WARN, "The store answered from an older state than is known; it is asked again."),
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -33,8 +33,11 @@
 import kotlin.time.DurationUnit
 
 /** One caller's connection: reads requests whole, one after the other, and writes their answers in that order. */
-internal class CallerConnection(private val traffic: Traffic, private val limits: CallerLimits) :
-    ChannelInboundHandlerAdapter() {
+internal class CallerConnection(
+    private val traffic: Traffic,
+    private val limits: CallerLimits,
+    private val decoder: CallerRequestDecoder,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private val admission = RequestAdmission(traffic)
     private val waiting = ArrayDeque<ReceivedRequest>()
@@ -224,6 +227,10 @@
     /** Closes the connection where the caller takes too long or has been idle for too long. */
     fun sweep(now: MonotonicTime) {
         if (isAnswering || waiting.isNotEmpty()) return
+        val headSince = decoder.headSince
+        if (headSince != null && now - headSince > limits.headerTimeout) {
+            return rejectWith(HttpResponseStatus.REQUEST_TIMEOUT, "too-slow")
+        }
         val idle = now - activeAt
         if (hasPartialRequest) {
             if (idle > limits.headerTimeout) rejectWith(HttpResponseStatus.REQUEST_TIMEOUT, "too-slow")
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpObjectAggregator
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
@@ -31,15 +30,12 @@
     fun callers(endpoint: Endpoint, traffic: Traffic): Channel =
         listen(endpoint) { channel ->
             val limits = traffic.table.configuration?.limits ?: CallerLimits()
-            val decoder =
+            val lengths =
                 HttpDecoderConfig()
                     .setMaxInitialLineLength(limits.headerBytes)
                     .setMaxHeaderSize(limits.headerBytes)
-            channel.pipeline().addLast(
-                HttpRequestDecoder(decoder),
-                HttpResponseEncoder(),
-                CallerConnection(traffic, limits),
-            )
+            val decoder = CallerRequestDecoder(lengths, traffic::now)
+            channel.pipeline().addLast(decoder, HttpResponseEncoder(), CallerConnection(traffic, limits, decoder))
         }
 
     /** Answers short questions at [endpoint] by [answer], a function of the path with its query. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
@@ -15,6 +15,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Follows the objects of one kind: lists them once, then watches for changes, and lists anew when history is lost.
@@ -46,6 +47,10 @@
     var version: ObjectVersion? = null
         private set
 
+    /** Until when lists that are older than what is known are asked for again, null where none was seen. */
+    private var staleUntil: MonotonicTime? = null
+    private var newestKnown = ObjectVersion(0)
+
     /** Version of the newest change that is known here. */
     var newestChange = ObjectVersion(0)
         private set
@@ -69,6 +74,8 @@
         when (listing) {
             null -> Unit
             is ObjectListing.Listed -> {
+                if (isProbe) health.answered()
+                if (isStale(listing, startedAt)) return pauseBriefly()
                 takeOver(listing, isWhole = after == null, startedAt)
                 if (listing.objects.isNotEmpty()) delay(pause)
             }
@@ -78,11 +85,15 @@
             }
             is ObjectListing.Unavailable -> {
                 if (isProbe) health.failed("$kind: ${listing.detail}")
-                delay(Random.nextLong(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS).milliseconds)
+                pauseBriefly()
             }
         }
     }
 
+    private suspend fun pauseBriefly() {
+        delay(Random.nextLong(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS).milliseconds)
+    }
+
     private suspend fun watch(after: ObjectVersion): ObjectListing? {
         if (!isAsked.value && (!isProbe || health.isUp.value)) return waitForChange(after)
         isAsked.value = false
@@ -112,9 +123,24 @@
         return listing
     }
 
+    /** Whether the store answered from a state before what is known here, as some of its parts may lag. */
+    private fun isStale(listing: ObjectListing.Listed, now: MonotonicTime): Boolean {
+        if (listing.version.value >= newestKnown.value) {
+            staleUntil = null
+            return false
+        }
+        val until = staleUntil ?: (now + MAX_LAG).also { staleUntil = it }
+        log.write(LogEvent.LISTING_STALE) {
+            field("kind", kind)
+            field("version", listing.version)
+            field("known", newestKnown)
+        }
+        return now < until
+    }
+
     private fun takeOver(listing: ObjectListing.Listed, isWhole: Boolean, startedAt: MonotonicTime) {
-        if (isProbe) health.answered()
         version = listing.version
+        newestKnown = listing.version
         newestChange = listing.objects.maxOfOrNull { it.version.value }?.let(::ObjectVersion) ?: newestChange
         if (isWhole) {
             listed(listing.objects)
@@ -127,6 +153,9 @@
     private companion object {
         /** Wait of a watch that asks whether the store is back. */
         val PROBE_WAIT: Duration = 20.milliseconds
+
+        /** Time after which a store whose versions went back is believed. */
+        val MAX_LAG: Duration = 6.seconds
         const val MIN_PAUSE_MILLIS = 80L
         const val MAX_PAUSE_MILLIS = 250L
     }
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/DataPathTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/DataPathTest.kt
@@ -251,6 +251,20 @@
             assertContains(fixture.exchange("/once/x", body = "x".repeat(10_001)), "HTTP/1.1 413")
         }
 
+    @Test
+    fun `headers that trickle in are refused after their time limit`() =
+        played({ request, connection -> connection.send(answer(request, "x")) }) { fixture, _ ->
+            fixture.connect().use { connection ->
+                connection.send("GET /safe/x HTTP/1.1\r\nlong: ")
+                repeat(6) {
+                    Thread.sleep(100)
+                    connection.send("x")
+                }
+                fixture.onLoop { fixture.traffic.sweep() }
+                assertContains(GatewayFixture.readAll(connection), "HTTP/1.1 408")
+            }
+        }
+
     @Test
     fun `unknown keys and routes are told, and nothing while the store has not confirmed them`() =
         played({ request, connection -> connection.send(answer(request, "x")) }) { fixture, _ ->
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -75,7 +75,7 @@
                 ),
                 services = persistentMapOf(service to ForwardService(service, maxConnections = 100)),
                 keys = persistentMapOf("key-1" to WorkspacePolicy(WorkspaceId("workspace"))),
-                limits = CallerLimits(headerBytes = 2_048, bodyBytes = 10_000),
+                limits = CallerLimits(headerBytes = 2_048, bodyBytes = 10_000, headerTimeout = 400.milliseconds),
             )
         return FleetTable(configuration, listed.toPersistentMap(), entries = persistentListOf("entry"))
     }
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/StoreFollowerTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/StoreFollowerTest.kt
@@ -113,6 +113,14 @@
         assertEquals(listOf(1.seconds, 20.milliseconds, 1.seconds), store.waits)
     }
 
+    @Test
+    fun `a list from before what is known is asked for again`() {
+        val store = ScriptedStore(listed(9, "a"), ObjectListing.Compacted, listed(6, "gone"), listed(9, "a"))
+        val seen = follow(store, isProbe = false, calls = 5)
+        assertEquals(listOf("list", "watch 9", "list", "list", "watch 9"), store.calls)
+        assertEquals(listOf("listed [kind/a]", "listed [kind/a]"), seen)
+    }
+
     private companion object {
         const val POLL_MILLIS = 5L
     }
