--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationRounds.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationRounds.kt
@@ -24,13 +24,15 @@
 
     private fun askers(entries: List<String>): List<String> {
         if (entries.size <= ALL_ASK) return entries + own
-        return entries.sortedBy { RendezvousHash.score(RendezvousHash.hash(it), KEY) }.take(ASKERS)
+        val count = maxOf(MIN_ASKERS, (entries.size + ENTRIES_PER_ASKER - 1) / ENTRIES_PER_ASKER)
+        return entries.sortedBy { RendezvousHash.score(RendezvousHash.hash(it), KEY) }.take(count)
     }
 
     private companion object {
         /** Entries up to which every one asks the store itself. */
         const val ALL_ASK = 16
-        const val ASKERS = 4
+        const val MIN_ASKERS = 4
+        const val ENTRIES_PER_ASKER = 40
         val KEY = RendezvousHash.hash("configuration")
     }
 }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/entries/ConfirmationRoundsTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/entries/ConfirmationRoundsTest.kt
@@ -18,18 +18,24 @@
     }
 
     @Test
-    fun `of many entries four ask the store, and the others ask all of those in turn`() {
+    fun `of many entries one in forty asks the store, and the others ask all of those in turn`() {
         val askers = many.filter { ConfirmationRounds(it).isAsker(many) }
-        assertEquals(4, askers.size)
+        assertEquals(8, askers.size)
         val other = ConfirmationRounds(many.first { it !in askers })
-        assertEquals(askers.toSet(), List(4) { other.next(many) }.toSet())
+        assertEquals(askers.toSet(), List(8) { other.next(many) }.toSet())
+    }
+
+    @Test
+    fun `of 67 entries four ask the store`() {
+        val entries = many.take(67)
+        assertEquals(4, entries.count { ConfirmationRounds(it).isAsker(entries) })
     }
 
     @Test
     fun `others ask the store once those that asked are gone`() {
         val askers = many.filter { ConfirmationRounds(it).isAsker(many) }
         val left = many - askers.toSet()
-        assertEquals(4, left.count { ConfirmationRounds(it).isAsker(left) })
+        assertEquals(8, left.count { ConfirmationRounds(it).isAsker(left) })
     }
 
     @Test
