--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
@@ -140,8 +140,8 @@
         val usual = EntryMessage(beat(report), table.lifeSigns(now), table.news(now))
         val keepers = if (isUsageDue(now)) table.keepers(now) else emptySet()
         val targets = if (isToEveryone) table.everyone() else table.targets(now, Random)
-        (targets - keepers).forEach { send(usual, it) }
-        keepers.forEach { send(usual.copy(usage = report.usage), it) }
+        send(usual, targets - keepers)
+        if (keepers.isNotEmpty()) send(usual.copy(usage = report.usage), keepers)
         channel.flush()
     }
 
@@ -151,21 +151,24 @@
         return isDue
     }
 
-    private fun send(message: EntryMessage, target: String) {
-        val endpoint = Endpoint.parse(target) ?: return
-        write(EntryDatagram(message), InetSocketAddress(endpoint.host, endpoint.port))
+    private fun send(message: EntryMessage, targets: Collection<String>) {
+        val bytes = ProtoBuf.encodeToByteArray(EntryDatagram(message))
+        for (target in targets) {
+            val endpoint = Endpoint.parse(target) ?: continue
+            write(bytes, InetSocketAddress(endpoint.host, endpoint.port))
+        }
     }
 
     /** Asks the entry [name], whose answer may come or not. */
     fun ask(name: String, question: ConfirmationQuestion) {
         val endpoint = table.address(name)?.let(Endpoint::parse) ?: return
-        write(EntryDatagram(question = question), InetSocketAddress(endpoint.host, endpoint.port))
+        val bytes = ProtoBuf.encodeToByteArray(EntryDatagram(question = question))
+        write(bytes, InetSocketAddress(endpoint.host, endpoint.port))
         channel.flush()
     }
 
-    private fun write(datagram: EntryDatagram, address: InetSocketAddress) {
-        val bytes = Unpooled.wrappedBuffer(ProtoBuf.encodeToByteArray(datagram))
-        channel.write(DatagramPacket(bytes, address))
+    private fun write(bytes: ByteArray, address: InetSocketAddress) {
+        channel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
     }
 
     private fun beat(report: TrafficReport): EntryBeat =
@@ -196,7 +199,7 @@
         datagram.message?.let(::heard)
         datagram.answer?.let(answered)
         val reply = datagram.question?.let(answer) ?: return
-        write(EntryDatagram(answer = reply), sender)
+        write(ProtoBuf.encodeToByteArray(EntryDatagram(answer = reply)), sender)
         channel.flush()
     }
 
