Count a prompt's shared tokens once a request, keep the hashes of entries, remove what nothing reads, and log what was silent

Found in reading the whole change: the choice of a server made two lists for each server of a request; a cold server cost a hash of every entry's name for each request; StoreHealth.returns, PlatformHttpClient.closeIdle and ServerQuery.isRetry had no reader; a failed registration left no line; a failed control task was logged as an outage of the store. Tests that stood twice in WorkspaceAllowancesTest share one body, with bounds and seeds unchanged.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -58,4 +58,6 @@
         "The store no longer knows the changes since the last read; the objects are listed anew.",
     ),
     LISTING_STALE(9013, LogLevel.WARN, "The store answered from an older state than is known; it is asked again."),
+    REGISTRATION_FAILED(9014, LogLevel.WARN, "This entry could not register or read who else did; it tries again."),
+    CONTROL_TASK_FAILED(9015, LogLevel.ERROR, "A task of the control thread has failed and does not go on."),
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ColdStartGate.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ColdStartGate.kt
@@ -11,7 +11,10 @@
  * cold, each for an equal part of the rate and one request at a time.
  */
 public class ColdStartGate(private val entry: String) {
+    private val ownHash = RendezvousHash.hash(entry)
     private val buckets = HashMap<String, Bucket>()
+    private var rankedEntries = emptyList<String>()
+    private var otherHashes = emptyList<Long>()
 
     /** Returns whether [server] may get a request at [now], without taking it. */
     public fun isOpen(
@@ -39,9 +42,13 @@
     }
 
     private fun rank(server: BackendServer, entries: List<String>): Int {
+        if (entries !== rankedEntries) {
+            rankedEntries = entries
+            otherHashes = entries.filter { it != entry }.map(RendezvousHash::hash)
+        }
         val key = RendezvousHash.hash(server.id.value)
-        val own = RendezvousHash.score(RendezvousHash.hash(entry), key)
-        return entries.count { it != entry && RendezvousHash.score(RendezvousHash.hash(it), key) > own }
+        val own = RendezvousHash.score(ownHash, key)
+        return otherHashes.count { RendezvousHash.score(it, key) > own }
     }
 
     private class Bucket(private var refilledAt: MonotonicTime) {
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/FleetLoads.kt
@@ -77,12 +77,13 @@
         if (loads.isEmpty()) return null
         val usualFailures = loads.minOf { it.failureShare(now) } + FAILURE_TOLERANCE
         val homes = homes(request)
+        val sharedTokens = sharedTokens(request)
         return loads
             .map { load ->
-                val cached = cachedTokens(load, request, homes)
+                val cached = cachedTokens(load, request, homes, sharedTokens)
                 val predicted = predict(load, request, cached, now)
                 val distrust = cost.distrust(load, usualFailures, now)
-                val reread = maxOf(0, sharedTokens(request) - cached) * settings.rereadCost
+                val reread = maxOf(0, sharedTokens - cached) * settings.rereadCost
                 val jitter = 1.0 + random.nextDouble(JITTER)
                 Triple(load, predicted, predicted * distrust * jitter + reread + cost.distance(load))
             }.minBy { it.third }
@@ -95,10 +96,15 @@
     }
 
     /** Tokens that the server keeps, by this entry's memory or because all entries send such prompts there. */
-    private fun cachedTokens(load: ServerLoad, request: ForwardRequest, homes: List<BackendServerId>): Int {
+    private fun cachedTokens(
+        load: ServerLoad,
+        request: ForwardRequest,
+        homes: List<BackendServerId>,
+        sharedTokens: Int,
+    ): Int {
         val known = load.prefixes.cachedTokens(request.promptParts)
         val trust = HOME_TRUST.getOrNull(homes.indexOf(load.server.id)) ?: return known
-        return maxOf(known, (sharedTokens(request) * trust).toInt())
+        return maxOf(known, (sharedTokens * trust).toInt())
     }
 
     private fun shared(request: ForwardRequest): List<PromptPart> =
@@ -122,7 +128,7 @@
     /** Counts an attempt of [request] that is being sent to [server]. */
     public fun began(server: BackendServer, request: ForwardRequest, now: MonotonicTime): LoadTicket {
         val load = loads[server.id] ?: return LoadTicket(server.id, 0, now, 0.0)
-        val cached = cachedTokens(load, request, homes(request))
+        val cached = cachedTokens(load, request, homes(request), sharedTokens(request))
         val unread = maxOf(0, request.promptTokens - cached)
         val ticket = LoadTicket(server.id, unread, now, predict(load, request, cached, now))
         coldStarts.take(server)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerQuery.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerQuery.kt
@@ -7,10 +7,5 @@
  * What the choice of a backend server for one attempt depends on.
  *
  * @property avoid servers at which the request was already tried
- * @property isRetry whether the request was sent to a server before
  */
-public class ServerQuery(
-    public val request: ForwardRequest,
-    public val avoid: Set<BackendServerId> = emptySet(),
-    public val isRetry: Boolean = false,
-)
+public class ServerQuery(public val request: ForwardRequest, public val avoid: Set<BackendServerId> = emptySet())
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -176,7 +176,7 @@
     }
 
     private fun choose(now: MonotonicTime, without: Set<BackendServerId> = avoid): ServerChoice =
-        environment.choose(ServerQuery(request, without, isRetry = attempt > 0), now)
+        environment.choose(ServerQuery(request, without), now)
 
     private fun dispatch(to: BackendServer, now: MonotonicTime) {
         attempt += 1
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/allowance/WorkspaceAllowancesTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/allowance/WorkspaceAllowancesTest.kt
@@ -65,21 +65,14 @@
     }
 
     @Test
-    fun `a workspace at many times its usual stays within its allowance over all entries`() {
-        for (seed in 1..5) {
-            val entries = Entries(count = 8, seed = seed)
-            entries.play(90_000, 0..3_000)
-            entries.play(650_000, 3_001..14_000)
-            val worst = entries.worstWindow(8_000)
-            val bound = (8 * 160_000 + 160_000) * 1.1 + 140_000
-            assertTrue(worst <= bound, "seed $seed: $worst tokens in 8 s, bound $bound")
-        }
-    }
+    fun `a workspace at many times its usual stays within its allowance over all entries`() = assertStaysWithin(8)
 
     @Test
-    fun `a workspace at many times its usual stays within its allowance over 67 entries`() {
+    fun `a workspace at many times its usual stays within its allowance over 67 entries`() = assertStaysWithin(67)
+
+    private fun assertStaysWithin(count: Int) {
         for (seed in 1..5) {
-            val entries = Entries(count = 67, seed = seed)
+            val entries = Entries(count, seed)
             entries.play(90_000, 0..3_000)
             entries.play(650_000, 3_001..14_000)
             val worst = entries.worstWindow(8_000)
@@ -99,18 +92,14 @@
     }
 
     @Test
-    fun `a workspace within its allowance is hardly ever refused`() {
-        for (seed in 1..5) {
-            val entries = Entries(count = 8, seed = seed)
-            entries.play(90_000, 0..20_000)
-            assertTrue(entries.refused * 100 <= entries.asked, "seed $seed: ${entries.refused} of ${entries.asked}")
-        }
-    }
+    fun `a workspace within its allowance is hardly ever refused`() = assertHardlyRefused(8)
 
     @Test
-    fun `a workspace within its allowance is hardly ever refused by 67 entries`() {
+    fun `a workspace within its allowance is hardly ever refused by 67 entries`() = assertHardlyRefused(67)
+
+    private fun assertHardlyRefused(count: Int) {
         for (seed in 1..5) {
-            val entries = Entries(count = 67, seed = seed)
+            val entries = Entries(count, seed)
             entries.play(90_000, 0..20_000)
             assertTrue(entries.refused * 100 <= entries.asked, "seed $seed: ${entries.refused} of ${entries.asked}")
         }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -73,7 +73,7 @@
 
     private fun failures() =
         CoroutineExceptionHandler { _, cause ->
-            log.write(LogEvent.STORE_UNAVAILABLE) { field("detail", "control task failed: $cause") }
+            log.write(LogEvent.CONTROL_TASK_FAILED) { field("detail", cause) }
         }
 
     /**
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Peers.kt
@@ -32,6 +32,7 @@
 import org.yuccajunction.port.ObjectReading
 import org.yuccajunction.port.ObjectStore
 import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoredObject
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -84,26 +85,43 @@
 
     /** Writes this entry's registration, then reads those of all, so that of two that start one learns of the other. */
     private suspend fun register() {
-        while (!writeRegistration()) delay(RETRY_PAUSE)
         while (true) {
-            val listing = store.list(KIND)
-            if (listing is ObjectListing.Listed) {
-                for (stored in listing.objects) {
-                    val address = stored.value?.trim('"') ?: continue
-                    table.registered(stored.key.substringAfter('/'), address, traffic.now())
+            val writing = writeRegistration()
+            if (writing is ObjectWriting.Written) break
+            retryLater("write", writing)
+        }
+        while (true) {
+            when (val listing = store.list(KIND)) {
+                is ObjectListing.Listed -> {
+                    listing.objects.forEach(::registered)
+                    delay(LIST_INTERVAL)
                 }
+                else -> retryLater("list", listing)
             }
-            delay(if (listing is ObjectListing.Listed) LIST_INTERVAL else RETRY_PAUSE)
         }
     }
 
-    private suspend fun writeRegistration(): Boolean {
+    private fun registered(stored: StoredObject) {
+        val address = stored.value?.trim('"') ?: return
+        table.registered(stored.key.substringAfter('/'), address, traffic.now())
+    }
+
+    private suspend fun retryLater(call: String, outcome: Any) {
+        log.write(LogEvent.REGISTRATION_FAILED) {
+            field("call", call)
+            field("outcome", outcome)
+        }
+        delay(RETRY_PAUSE)
+    }
+
+    private suspend fun writeRegistration(): ObjectWriting {
         val key = "$KIND/${settings.name}"
         val value = "\"${settings.peerEndpoint}\""
-        if (store.write(key, value, ExpectedVersion.Absent) is ObjectWriting.Written) return true
-        val reading = store.read(key) as? ObjectReading.Found ?: return false
-        if (reading.stored.value == value) return true
-        return store.write(key, value, ExpectedVersion.Is(reading.stored.version)) is ObjectWriting.Written
+        val writing = store.write(key, value, ExpectedVersion.Absent)
+        if (writing is ObjectWriting.Written) return writing
+        val stored = (store.read(key) as? ObjectReading.Found)?.stored ?: return writing
+        if (stored.value == value) return ObjectWriting.Written(stored.version)
+        return store.write(key, value, ExpectedVersion.Is(stored.version))
     }
 
     /** Returns the requests of [service] that are open at all entries together. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
@@ -60,12 +60,6 @@
         return reply ?: HttpReply.Lost("no answer of $endpoint within $timeout")
     }
 
-    /** Closes all idle connections, as they may have gone silent. */
-    public fun closeIdle() {
-        idle.values.forEach { kept -> kept.forEach { it.channel.close() } }
-        idle.clear()
-    }
-
     private fun kept(endpoint: Endpoint): Channel? {
         val all = idle[endpoint] ?: return null
         while (true) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreHealth.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreHealth.kt
@@ -13,15 +13,10 @@
 internal class StoreHealth(private val log: DecisionLog) {
     private val up = MutableStateFlow(true)
 
-    /** Counts the returns of the store. */
-    var returns = 0
-        private set
-
     val isUp: StateFlow<Boolean> get() = up
 
     fun answered() {
         if (up.value) return
-        returns += 1
         up.value = true
         log.write(LogEvent.STORE_AVAILABLE)
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
@@ -98,7 +98,7 @@
         if (isTicking) scheduleTick()
     }
 
-    /** Closes what has been idle for too long; called about once a second. */
+    /** Closes what has been idle for too long; called twice a second. */
     fun sweep() {
         val now = now()
         connections.sweep(now)
