Count what entries admitted that started together with this one

Change: what a run admitted counts whole if it started no earlier than this entry, less two seconds for clocks.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/allowance/WorkspaceAllowances.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/allowance/WorkspaceAllowances.kt
@@ -12,8 +12,11 @@
  * Entries tell each other how much they have admitted. Between two messages of a peer, its former rate is taken to go
  * on. A request is admitted while the estimated allowance of all entries is not used up; when little is left, this
  * entry also keeps to its own part, weighted by demand. Confined to the traffic thread.
+ *
+ * @property startedAtMillis Unix time in milliseconds of this entry's start; all that was admitted by entries that
+ *   started no earlier counts here, of others only what they admit from now on
  */
-public class WorkspaceAllowances {
+public class WorkspaceAllowances(private val startedAtMillis: Long = 0) {
     private val meters = HashMap<WorkspaceId, WorkspaceMeter>()
     private var entries = 1
 
@@ -33,8 +36,10 @@
 
     /** The entry [peer] told in the run [run] that it has admitted [admitted] so far. */
     public fun told(peer: String, run: Long, admitted: Map<WorkspaceId, Double>, now: MonotonicTime) {
+        val isAsYoung = run >= startedAtMillis - CLOCK_TOLERANCE_MILLIS
         for ((workspace, amount) in admitted) {
-            meters.getOrPut(workspace) { WorkspaceMeter(now) }.told(peer, run, amount, now)
+            val meter = meters.getOrPut(workspace) { WorkspaceMeter(now) }
+            meter.told(peer, run, amount, now, isAsYoung)
         }
     }
 
@@ -46,11 +51,19 @@
 
     private fun meter(policy: WorkspacePolicy, now: MonotonicTime): WorkspaceMeter =
         meters.getOrPut(policy.id) { WorkspaceMeter(now) }
+
+    private companion object {
+        /** How far the clocks of two machines may be apart. */
+        const val CLOCK_TOLERANCE_MILLIS = 2_000L
+    }
 }
 
 /** The allowance of one workspace as this entry estimates it. */
 private class WorkspaceMeter(private var refilledAt: MonotonicTime) {
     private var level: Double? = null
+
+    /** What peers told before the level was first worked out. */
+    private var spentBefore = 0.0
     private var ownLevel = 0.0
     private var ownDemand = 0.0
     private val peers = HashMap<String, PeerSpending>()
@@ -75,9 +88,10 @@
         admitted -= charge
     }
 
-    fun told(peer: String, run: Long, amount: Double, now: MonotonicTime) {
-        val spent = peers.getOrPut(peer) { PeerSpending(run, amount, now) }.told(run, amount, now)
-        level = level?.minus(spent)
+    fun told(peer: String, run: Long, amount: Double, now: MonotonicTime, isAsYoung: Boolean) {
+        val counted = if (isAsYoung) 0.0 else amount
+        val spent = peers.getOrPut(peer) { PeerSpending(run, counted, now) }.told(run, amount, now)
+        if (level == null) spentBefore += spent else level = level?.minus(spent)
     }
 
     fun forget(live: Set<String>, now: MonotonicTime) {
@@ -88,7 +102,7 @@
     private fun refill(policy: WorkspacePolicy, entries: Int, now: MonotonicTime): Double {
         val seconds = (now - refilledAt).toDouble(DurationUnit.SECONDS)
         refilledAt = now
-        val known = level ?: (policy.burst * INITIAL_SHARE)
+        val known = level ?: (policy.burst * INITIAL_SHARE - spentBefore)
         val assumed = peers.values.sumOf { it.assume(now) }
         val left = minOf(policy.burst, known + seconds * policy.ratePerSecond - assumed)
         level = left
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/allowance/WorkspaceAllowancesTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/allowance/WorkspaceAllowancesTest.kt
@@ -22,7 +22,8 @@
     /** Many entries under a hand-moved clock; each tells up to 16 others at a time, all of them in turn. */
     private inner class Entries(private val count: Int, seed: Int) {
         private val random = Random(seed)
-        private val meters = List(count) { WorkspaceAllowances() }
+        private var meters = List(count) { WorkspaceAllowances() }
+        private var run = 1L
         private val admittedAt = ArrayList<Pair<Int, Double>>()
         private var rounds = 0
         var live = count
@@ -46,13 +47,19 @@
             }
         }
 
+        /** All entries end and start again at [millis]; what they knew is lost. */
+        fun restart(millis: Int) {
+            run = millis.toLong()
+            meters = List(count) { WorkspaceAllowances(startedAtMillis = run) }
+        }
+
         private fun tell(now: MonotonicTime) {
             val names = (0 until live).mapTo(HashSet()) { "entry-$it" }
             meters.take(live).forEach { it.entriesChanged(names, now) }
             for (index in 0 until live) {
                 for (target in 1..minOf(MAX_TARGETS, count - 1)) {
                     val receiver = (index + 1 + (rounds * MAX_TARGETS + target - 1) % (count - 1)) % count
-                    meters[receiver].told("entry-$index", 1, meters[index].admitted(), now)
+                    meters[receiver].told("entry-$index", run, meters[index].admitted(), now)
                 }
             }
             rounds += 1
@@ -81,6 +88,27 @@
         }
     }
 
+    @Test
+    fun `a workspace at many times its usual stays within its allowance though all entries start again`() =
+        assertStaysWithinOverRestart(8)
+
+    @Test
+    fun `a workspace at many times its usual stays within its allowance though 67 entries start again`() =
+        assertStaysWithinOverRestart(67)
+
+    private fun assertStaysWithinOverRestart(count: Int) {
+        for (seed in 1..5) {
+            val entries = Entries(count, seed)
+            entries.play(90_000, 0..3_000)
+            entries.play(800_000, 3_001..8_000)
+            entries.restart(8_700)
+            entries.play(800_000, 8_700..16_000)
+            val worst = entries.worstWindow(8_000)
+            val bound = (8 * 160_000 + 160_000) * 1.1 + 140_000
+            assertTrue(worst <= bound, "seed $seed: $worst tokens in 8 s, bound $bound")
+        }
+    }
+
     @Test
     fun `entries that are gone take nothing out of an allowance for long`() {
         val entries = Entries(count = 8, seed = 1)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Traffic.kt
@@ -30,7 +30,7 @@
 ) {
     val random: Random = Random.Default
     val loads = FleetLoads(settings.name, settings.zone, random)
-    val allowances = WorkspaceAllowances()
+    val allowances = WorkspaceAllowances(System.currentTimeMillis())
     val retries =
         with(settings.bounds) { RetryAllowance(retryRatio, retryBase, retryWindow) }
     val usage = UsageWindows(settings.bounds.usageWindow)
