--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ExchangeTelemetry.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ExchangeTelemetry.kt
@@ -21,6 +21,7 @@
             field("server", server.id)
             field("version", server.version)
             field("end", end)
+            field("parts", request.promptParts.joinToString(",") { it.id }.ifEmpty { null })
             field("millis", (dataPlane.now() - request.receivedAt).inWholeMilliseconds)
         }
     }
