--- /dev/null
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptTest.kt
@@ -0,0 +1,35 @@
+package org.yuccajunction.fleet
+
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/** Many entries before model servers of which some requests end one after the other; under a hand-moved clock. */
+class CrashingPromptTest {
+    /** Guards against requests with one part in their prompts that end servers for as long as they come. */
+    @Test
+    fun `requests with a part that ends servers reach at most three servers later than contact time after the fifth`() {
+        for ((entries, servers, soundPerSecond) in FLEETS) {
+            for (seed in 1..SEEDS) {
+                val fleet = CrashingPromptFleet(seed, entries, servers)
+                fleet.run(5.seconds, soundPerSecond, 0.0)
+                fleet.run(65.seconds, soundPerSecond, crashingPerSecond = 2.5)
+                val fifth = fleet.crashes.getOrNull(4)
+                val later = fleet.crashingAttempts.count { fifth != null && it > fifth + CONTACT_TIME }
+                val seen = "$entries entries, seed $seed: ${fleet.crashes.size} ends, $later requests after the fifth, " +
+                    "${fleet.soundQuarantined} of ${fleet.soundRequests} sound requests refused for their prompt"
+                println(seen)
+                assertTrue(later <= 3, seen)
+                assertTrue(fleet.soundQuarantined == 0, seen)
+            }
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 5
+        val CONTACT_TIME = 3.seconds
+
+        /** Entries, servers and sound requests per second. */
+        val FLEETS = listOf(Triple(9, 8, 80.0), Triple(95, 36, 250.0))
+    }
+}
