Refuse requests with a prompt part under which backend servers have ended

Callers of sound requests saw 502 and refusals while requests with one part in their prompts ended one server after the other: 33 in 60 s. Cause: nothing counted what a request did to servers; it was sent on to up to four, and no entry knew what another had seen. Evidence: attempts 1 and 2 of one request broke at servers that ended at these moments.

Entries now find out whether a server ended (it refuses connections) when attempts break there before an event, and exchange the prompt parts of these attempts. One request is sent to at most two servers that break before an event.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -39,6 +39,18 @@
     SERVER_LIMIT_CHANGED(5002, LogLevel.INFO, "A backend server has named, changed or lifted its limit of requests."),
     SERVER_LEAVING(5003, LogLevel.INFO, "A backend server has said in an answer that it leaves."),
     SERVER_PAUSED(5004, LogLevel.INFO, "A backend server has rejected a request and wants none for some time."),
+    SERVER_ENDED(5005, LogLevel.INFO, "A backend server has ended while this entry had requests open there."),
+    PROMPT_QUARANTINED(
+        5006,
+        LogLevel.WARN,
+        "Backend servers have ended under requests with one part in their prompts; such requests are refused.",
+    ),
+    PROMPT_TRIED(5007, LogLevel.WARN, "One request with a quarantined part in its prompt is sent again."),
+    PROMPT_RELEASED(
+        5008,
+        LogLevel.INFO,
+        "A request with a quarantined part was answered; the part is no longer refused.",
+    ),
     VERSION_VETOED(6001, LogLevel.WARN, "A new version is faulty or slow; this entry sends it no new requests."),
     MOVE_CHANGED(6002, LogLevel.INFO, "The move of a service to a new version has reached another phase or share."),
     MOVE_STATUS_ANSWERED(6003, LogLevel.INFO, "The store answered a write of the status of a move."),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.yuccajunction.quarantine.QuarantineReport
 import org.yuccajunction.rollout.MoveReport
 
 /**
@@ -24,6 +25,7 @@
  * @property leavingServers incarnations of servers that have said in their answers that they leave
  * @property moves what the entry knows of ordered moves of services to other versions
  * @property requestLimits requests per second that servers have named to the entry as their limits, by server
+ * @property quarantine what the entry knows of prompt parts under which servers have ended
  * @property liftedLimits servers that have named a limit to the entry and no longer do
  */
 @Serializable
@@ -47,4 +49,5 @@
     public val requestLimits: Map<String, Double> = emptyMap(),
     public val liftedLimits: List<String> = emptyList(),
     public val leavingServers: List<String> = emptyList(),
+    public val quarantine: QuarantineReport = QuarantineReport(),
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.entries
 
 import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.quarantine.QuarantineReport
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -103,6 +104,7 @@
                 requestLimits = emptyMap(),
                 liftedLimits = emptyList(),
                 leavingServers = emptyList(),
+                quarantine = QuarantineReport(),
             )
         }
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerNotices.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerNotices.kt
@@ -13,6 +13,7 @@
 public class ServerNotices {
     private val leaving = HashSet<String>()
     private val pausedUntil = HashMap<String, MonotonicTime>()
+    private val endedAt = HashMap<String, MonotonicTime>()
 
     /** Records that [server] has said that it leaves; returns whether that is news. */
     public fun recordLeaving(server: BackendServer): Boolean = leaving.add(server.incarnation)
@@ -37,16 +38,29 @@
     public fun pauseLeft(server: BackendServer, now: MonotonicTime): Duration? =
         pausedUntil[server.incarnation]?.let { it - now }?.takeIf { it.isPositive() }
 
+    /** Records that the server [incarnation] has ended, which the store will list for some time. */
+    public fun recordEnded(incarnation: String, now: MonotonicTime) {
+        endedAt[incarnation] = now
+    }
+
+    /** Returns whether [server] has ended a short time ago, by what this entry or a peer has observed. */
+    public fun hasEnded(server: BackendServer, now: MonotonicTime): Boolean =
+        endedAt.isNotEmpty() && endedAt[server.incarnation].let { it != null && now - it < END_VALIDITY }
+
     /** Forgets all incarnations but those of [servers]. */
     public fun retainServers(servers: Collection<BackendServer>) {
-        if (leaving.isEmpty() && pausedUntil.isEmpty()) return
+        if (leaving.isEmpty() && pausedUntil.isEmpty() && endedAt.isEmpty()) return
         val listed = servers.mapTo(HashSet()) { it.incarnation }
         leaving.retainAll(listed)
         pausedUntil.keys.retainAll(listed)
+        endedAt.keys.retainAll(listed)
     }
 
     private companion object {
         /** Longest pause that a server is granted for one rejection. */
         val MAX_PAUSE = 60.seconds
+
+        /** Time within which the store no longer lists a server that has ended. */
+        val END_VALIDITY = 10.seconds
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -26,6 +26,9 @@
     private var dispatchedAt = request.receivedAt
     private var answeredAttempt: Int? = null
     private var lastEventId: String? = null
+
+    /** Whether the current attempt has brought an event of a stream. */
+    private var hasEvents = false
     private val executions = RequestExecutions(request.route.maxExecutions, environment.isGone)
 
     /** Number of the current or the last attempt; 0 before the first. */
@@ -76,6 +79,7 @@
     /** Handles the head of a stream that answers [attempt]. */
     public fun streamStarted(attempt: Int) {
         if (isEnded || attempt != this.attempt) return
+        hasEvents = true
         if (isStreaming) return
         isStreaming = true
         actions.deliver(attempt)
@@ -172,7 +176,7 @@
         val current = server ?: return false
         server = null
         triedServers = triedServers.add(current.id)
-        executions.recordEnd(current.id, end)
+        executions.recordEnd(current.id, end, hasEvents)
         actions.attemptEnded(attempt, current, end)
         return true
     }
@@ -182,6 +186,7 @@
 
     private fun dispatch(to: BackendServer, now: MonotonicTime) {
         attempt += 1
+        hasEvents = false
         server = to
         dispatchedAt = now
         actions.dispatch(attempt, to, lastEventId)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
@@ -16,4 +16,7 @@
     ENTRY_LIMIT(503, "entry-limit"),
     ENTRY_LEAVING(503, "entry-leaving"),
     TOO_LATE(503, "too-late"),
+
+    /** Backend servers have ended under requests with a part of this prompt. */
+    CRASHING_PROMPT(503, "crashing-prompt"),
 }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptFleet.kt
@@ -23,6 +23,7 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
+import org.yuccajunction.quarantine.PromptQuarantine
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -126,29 +127,48 @@
     }
 
     private fun heartbeat(entry: Entry) {
+        entry.quarantine.takeUrgency()
         exchange(entry, entries.shuffled(random).take(MAX_TARGETS))
         after((HEARTBEAT_MILLIS + random.nextInt(-40, 40)).milliseconds) { heartbeat(entry) }
     }
 
     /** Sends the evidence of [entry] to [targets]; some datagrams get lost, and each arrives a little later. */
     private fun exchange(entry: Entry, targets: List<Entry>) {
+        val report = entry.quarantine.report(clock())
         for (target in targets - entry) {
             if (random.nextDouble() < LOST_FRACTION) continue
-            after(random.nextInt(1, MAX_DELAY_MILLIS).milliseconds) { target.accept(entry) }
+            after(random.nextInt(1, MAX_DELAY_MILLIS).milliseconds) { target.quarantine.recordPeer(report, clock()) }
         }
     }
 
     private inner class Entry(name: String) {
+        val quarantine = PromptQuarantine(name)
         val balancer = LoadBalancer(name, AvailabilityZone("zone-a"), Random(random.nextInt()))
         val environment =
             ForwardEnvironment(
-                chooseServer = { query, now -> balancer.choose(query, now) },
+                chooseServer = { query, now ->
+                    quarantine.refusal(query.request, names, now)
+                        ?.let { ServerChoice.Refuse(RefusalCause.CRASHING_PROMPT, it) }
+                        ?: balancer.choose(query, now)
+                },
                 tryTakeRetry = { _, _ -> true },
                 isSilent = { _, _, _ -> false },
                 isGone = balancer::isGone,
             )
 
-        fun accept(sender: Entry) = Unit
+        val endedRequests = HashMap<String, ArrayList<ForwardRequest>>()
+
+        /** Records that [attempt] broke; whether its server has ended is known a little later. */
+        fun attemptBroke(attempt: Attempt) {
+            val incarnation = attempt.server.incarnation
+            val known = endedRequests[incarnation]
+            endedRequests.getOrPut(incarnation) { ArrayList() } += attempt.call.request
+            if (known != null) return
+            after(40.milliseconds) {
+                quarantine.recordServerEnd(incarnation, endedRequests.remove(incarnation).orEmpty(), clock())
+                if (quarantine.takeUrgency()) exchange(this, entries)
+            }
+        }
     }
 
     private inner class Server(val number: Int) {
@@ -221,6 +241,7 @@
             if (isOver) return
             hasEvents = true
             call.entry.balancer.recordFirstAnswer(ticket, clock())
+            call.entry.quarantine.recordProgress(call.request, clock())
             call.machine.streamStarted(number)
             call.machine.eventForwarded("1")
         }
@@ -237,6 +258,7 @@
             if (isOver) return
             isOver = true
             call.entry.balancer.endAttempt(ticket, end, clock())
+            if (end == AttemptEnd.BROKEN && !hasEvents) call.entry.attemptBroke(this)
             call.machine.attemptEnded(number, end, clock())
         }
     }
@@ -272,7 +294,7 @@
         }
 
         override fun refuse(cause: RefusalCause, retryAfter: Duration) {
-            if (isSound && cause.code == "crashing-prompt") soundQuarantined += 1
+            if (isSound && cause == RefusalCause.CRASHING_PROMPT) soundQuarantined += 1
         }
 
         override fun cancel(attempt: Int) = Unit
@@ -282,7 +304,9 @@
         /** The caller of a request that has failed repeats it once, at any entry. */
         override fun fail(cause: FailureCause) {
             if (isSound || isRepeat) return
-            after(50.milliseconds) { Call(entries.random(random), request.promptParts, isSound, isRepeat = true).start() }
+            after(50.milliseconds) {
+                Call(entries.random(random), request.promptParts, isSound, isRepeat = true).start()
+            }
         }
 
         override fun complete() = Unit
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptTest.kt
@@ -1,7 +1,9 @@
 package org.yuccajunction.fleet
 
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Many entries before model servers of which some requests end one after the other; under a hand-moved clock. */
@@ -16,8 +18,9 @@
                 fleet.run(65.seconds, soundPerSecond, crashingPerSecond = 2.5)
                 val fifth = fleet.crashes.getOrNull(4)
                 val later = fleet.crashingAttempts.count { fifth != null && it > fifth + CONTACT_TIME }
-                val seen = "$entries entries, seed $seed: ${fleet.crashes.size} ends, $later requests after the fifth, " +
-                    "${fleet.soundQuarantined} of ${fleet.soundRequests} sound requests refused for their prompt"
+                val seen =
+                    "$entries entries, seed $seed: ${fleet.crashes.size} ends, $later requests after the fifth, " +
+                        "${fleet.soundQuarantined} of ${fleet.soundRequests} sound requests refused for their prompt"
                 println(seen)
                 assertTrue(later <= 3, seen)
                 assertTrue(fleet.soundQuarantined == 0, seen)
@@ -25,6 +28,28 @@
         }
     }
 
+    /** Guards against sound requests that are refused because their servers ended for causes outside all prompts. */
+    @Test
+    fun `ends of hosts, availability zones and reclaimed servers keep no request from the servers`() {
+        for ((entries, servers, soundPerSecond) in FLEETS) {
+            for (seed in 1..SEEDS) {
+                val fleet = CrashingPromptFleet(seed, entries, servers)
+                fleet.run(5.seconds, soundPerSecond, 0.0)
+                fleet.endServers(spread = 50.milliseconds) { it % 4 == 0 }
+                fleet.run(15.seconds, soundPerSecond, 0.0)
+                fleet.endServers(spread = 8.seconds) { it % 2 == 1 }
+                fleet.run(30.seconds, soundPerSecond, 0.0)
+                repeat(8) { host ->
+                    fleet.endServers(spread = 10.milliseconds) { it == host % servers }
+                    fleet.run(31.seconds + host.seconds, soundPerSecond, 0.0)
+                }
+                val seen = "$entries entries, seed $seed: ${fleet.soundQuarantined} of ${fleet.soundRequests} refused"
+                println(seen)
+                assertEquals(0, fleet.soundQuarantined, seen)
+            }
+        }
+    }
+
     private companion object {
         const val SEEDS = 5
         val CONTACT_TIME = 3.seconds
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/forward/ForwardMachineTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/forward/ForwardMachineTest.kt
@@ -117,4 +117,13 @@
         fixture.attemptEnded(AttemptEnd.BROKEN).elapse(2_000)
         assertEquals(listOf("dispatch 1 to a", "cancel 1"), fixture.actions)
     }
+
+    /** Guards against a request that ends one server after the other, though those no longer count. */
+    @Test
+    fun `a request under which two servers broke before an event is not sent to a third`() {
+        val fixture = ForwardFixture(isStream = true, maxExecutions = 3)
+        fixture.gone += listOf("a", "b")
+        fixture.start().attemptEnded(AttemptEnd.BROKEN).attemptEnded(AttemptEnd.BROKEN)
+        assertEquals(listOf("dispatch 1 to a", "dispatch 2 to b", "fail OUTCOME_UNKNOWN"), fixture.actions)
+    }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -4,10 +4,14 @@
 import org.yuccajunction.entries.EntryHeartbeat
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.fleet.LoadBalancer
+import org.yuccajunction.fleet.ServerChoice
+import org.yuccajunction.fleet.ServerQuery
 import org.yuccajunction.forward.ForwardEnvironment
+import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.quarantine.PromptQuarantine
 import org.yuccajunction.quota.ServiceRetryBudget
 import org.yuccajunction.quota.UsageWindows
 import org.yuccajunction.quota.WorkspaceQuotas
@@ -40,9 +44,11 @@
     val usageWindows = UsageWindows(settings.bounds.usageWindow)
     val serverConnections = ServerConnections(this)
     val callerConnections = HashSet<CallerConnection>()
+    val quarantine = PromptQuarantine(settings.name, QuarantineTelemetry(log)::record)
+    val serverEndDetector = ServerEndDetector(this)
     val environment =
         ForwardEnvironment(
-            chooseServer = { query, now -> loadBalancer.choose(query, now) },
+            chooseServer = ::chooseServer,
             tryTakeRetry = { service, now -> retryBudget.tryTakeRetry(service, fleet.entries.size, now) },
             isSilent = loadBalancer::isSilent,
             isGone = loadBalancer::isGone,
@@ -50,6 +56,10 @@
     private var trialSamples = ArrayList<TrialSample>()
     private val exchanges = LinkedHashSet<Exchange>()
     private var isTicking = false
+    private var isUrgentReportScheduled = false
+
+    /** Sends this entry's report to all peers; set before the first request. */
+    var sendReportToAll: () -> Unit = {}
 
     var fleet = FleetSnapshot()
         private set
@@ -65,6 +75,28 @@
 
     fun now(): MonotonicTime = MonotonicTime(System.nanoTime())
 
+    private fun chooseServer(query: ServerQuery, now: MonotonicTime): ServerChoice {
+        val retryAfter = quarantine.refusal(query.request, fleet.entries, now)
+        if (quarantine.takeUrgency()) reportUrgently()
+        if (retryAfter != null) return ServerChoice.Refuse(RefusalCause.CRASHING_PROMPT, retryAfter)
+        return loadBalancer.choose(query, now)
+    }
+
+    /** Reports to all peers soon, once for all that happens in [URGENT_REPORT_DELAY_MILLIS]. */
+    fun reportUrgently() {
+        if (isUrgentReportScheduled) return
+        isUrgentReportScheduled = true
+        loop.schedule(
+            {
+                isUrgentReportScheduled = false
+                quarantine.takeUrgency()
+                sendReportToAll()
+            },
+            URGENT_REPORT_DELAY_MILLIS,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
     /** Replaces the snapshot of the fleet by the one that the control thread published. */
     fun update(fleet: FleetSnapshot) {
         this.fleet = fleet
@@ -147,6 +179,7 @@
             requestLimits = loadBalancer.requestLimits.named(now()).mapKeys { it.key.value },
             liftedLimits = loadBalancer.requestLimits.lifted(now()).map { it.value },
             leavingServers = loadBalancer.notices.leavingIncarnations(),
+            quarantine = quarantine.report(now()),
         )
 
     /**
@@ -160,6 +193,8 @@
         loadBalancer.requestLimits.retainPeers(live)
         for (heartbeat in heartbeats) {
             loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
+            heartbeat.quarantine.ends.forEach { loadBalancer.notices.recordEnded(it.incarnation, now) }
+            quarantine.recordPeer(heartbeat.quarantine, now)
             loadBalancer.requestLimits.recordPeer(
                 heartbeat.name,
                 heartbeat.requestLimits.mapKeys { BackendServerId(it.key) },
@@ -176,6 +211,7 @@
 
     private companion object {
         const val TICK_INTERVAL_MILLIS = 40L
+        const val URGENT_REPORT_DELAY_MILLIS = 20L
         const val MAX_TRIAL_SAMPLES = 2_000
 
         /** Time after the begin of a graceful stop in which new requests are still forwarded. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -98,6 +98,8 @@
         if (end.mayHaveExecuted && !request.route.isStream) countUsageOnce()
         attempt.trial.ended(attempt, end)
         dataPlane.loadBalancer.endAttempt(attempt.ticket, end, dataPlane.now())
+        val mayHaveEndedServer = end == AttemptEnd.BROKEN || end == AttemptEnd.INVALID
+        if (mayHaveEndedServer && !attempt.hasEvents) dataPlane.serverEndDetector.attemptBroke(attempt.server, request)
         machine.attemptEnded(attempt.number, end, dataPlane.now())
     }
 
@@ -107,6 +109,7 @@
         countUsageOnce()
         val now = dataPlane.now()
         val status = buffered.status.code()
+        if (status < MIN_SERVER_ERROR_STATUS) dataPlane.quarantine.recordProgress(request, now)
         attempt.trial.answered(attempt, isFailure = status >= MIN_SERVER_ERROR_STATUS, now)
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, now)
         dataPlane.loadBalancer.endAttempt(
@@ -124,6 +127,8 @@
         countUsageOnce()
         attempt.trial.eventReceived(attempt, dataPlane.now())
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, dataPlane.now())
+        if (!attempt.hasEvents) dataPlane.quarantine.recordProgress(request, dataPlane.now())
+        attempt.hasEvents = true
         streamHead = streamHead ?: response
         machine.streamStarted(attempt.number)
         val number = event.id?.toLongOrNull()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -48,6 +48,7 @@
         controlPlane = ControlPlane(dataPlane, gatewayPorts.store, gatewayPorts.source, log)
         peers = PeerGossip(dataPlane, controlPlane, gatewayPorts.store, log, incarnation)
         val scope = CoroutineScope(SupervisorJob() + controlLoop.asCoroutineDispatcher() + exceptionHandler())
+        dataPlane.sendReportToAll = { controlLoop.execute { peers.exchangeHeartbeats(isBroadcast = true) } }
         peers.start(controlGroup, scope)
         Confirmations(dataPlane, controlPlane, peers).start(scope)
         val lease = DutyLease(gatewayPorts.store, settings.name, incarnation, dataPlane.clock::now)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -228,6 +228,7 @@
             requestLimits = report.requestLimits,
             liftedLimits = report.liftedLimits,
             leavingServers = report.leavingServers,
+            quarantine = report.quarantine,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAttempt.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAttempt.kt
@@ -15,6 +15,9 @@
 ) {
     val trial = AttemptTrial(exchange.dataPlane, exchange.request)
     var connection: ServerConnection? = null
+
+    /** Whether a whole event of a stream has arrived. */
+    var hasEvents = false
     var isOver = false
         private set
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
@@ -13,6 +14,7 @@
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
+import java.net.ConnectException
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -53,6 +55,16 @@
         future.channel().pipeline().get(ServerConnection::class.java).send(attempt, request)
     }
 
+    /** Opens a connection to [server] and reports whether the server's instance refused it; keeps it if it opened. */
+    fun probe(server: BackendServer, onResult: (isRefused: Boolean) -> Unit) {
+        val endpoint = server.endpoint
+        val future = bootstrap.clone().handler(initializer(server)).connect(endpoint.host, endpoint.port)
+        future.addListener {
+            if (future.isSuccess) returnToPool(future.channel().pipeline().get(ServerConnection::class.java))
+            onResult(future.cause().let { it is ConnectException && it !is ConnectTimeoutException })
+        }
+    }
+
     private fun initializer(server: BackendServer) =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -1,5 +1,7 @@
 package org.yuccajunction.gateway
 
+import org.yuccajunction.quarantine.QuarantineReport
+
 /**
  * Holds the counts that the traffic thread hands to the control thread for the next heartbeat.
  *
@@ -10,6 +12,7 @@
  * @property requestLimits requests per second that servers have named as their limits, by server
  * @property liftedLimits servers that have named a limit and no longer do
  * @property leavingServers incarnations of servers that have said in their answers that they leave
+ * @property quarantine what this entry knows of prompt parts under which servers have ended
  */
 internal class TrafficReport(
     val admitted: Map<String, Double>,
@@ -19,4 +22,5 @@
     val requestLimits: Map<String, Double>,
     val liftedLimits: List<String>,
     val leavingServers: List<String>,
+    val quarantine: QuarantineReport,
 )
--- /dev/null
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CrashingPromptGatewayTest.kt
@@ -0,0 +1,60 @@
+package org.yuccajunction.gateway
+
+import org.yuccajunction.gateway.ScriptedServer.Companion.chunk
+import org.yuccajunction.gateway.ScriptedServer.Companion.event
+import org.yuccajunction.gateway.ScriptedServer.Companion.reset
+import org.yuccajunction.gateway.ScriptedServer.Companion.send
+import org.yuccajunction.gateway.ScriptedServer.Companion.streamHead
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+/** Runs the data plane before servers that end, or only reset a connection, under requests with one prompt part. */
+class CrashingPromptGatewayTest {
+    private fun withServers(breakUnder: (ScriptedServer, Socket) -> Unit, test: (GatewayFixture) -> Unit) {
+        val servers = ArrayList<ScriptedServer>()
+        repeat(SERVERS) { number ->
+            servers += ScriptedServer { request, connection ->
+                if (CRASHING_PART in request) return@ScriptedServer breakUnder(servers[number], connection)
+                connection.send(streamHead(request) + chunk(event(1)) + "0\r\n\r\n")
+            }
+        }
+        GatewayFixture(*servers.toTypedArray()).use(test)
+        servers.forEach { it.close() }
+    }
+
+    private fun GatewayFixture.send(parts: String): String {
+        val answered = exchange("/stream/", headers = "key: key-1\r\nparts: $parts\r\n")
+        Thread.sleep(PAUSE_MILLIS)
+        return answered
+    }
+
+    /** Guards against a prompt part that ends all servers of a service. */
+    @Test
+    fun `a part under which servers ended at three times is refused as not executed, other prompts are served`() =
+        withServers({ server, _ -> server.close() }) { fixture ->
+            repeat(3) {
+                assertContains(fixture.send("first,$CRASHING_PART,own-$it"), "502")
+                assertContains(fixture.send("first,other,own-$it"), "200 OK")
+            }
+            val refused = fixture.send("first,$CRASHING_PART,own")
+            assertContains(refused, "503")
+            assertContains(refused, "crashing-prompt")
+            assertContains(fixture.send("first,other,own"), "200 OK")
+        }
+
+    /** Guards against sound prompts that are refused because connections are reset. */
+    @Test
+    fun `a part whose connections were reset by servers that still run is not refused`() =
+        withServers({ _, connection -> connection.reset() }) { fixture ->
+            val statuses = List(6) { fixture.send("first,$CRASHING_PART,own-$it").substringBefore("\r\n") }
+            assertEquals(List(6) { "HTTP/1.1 502 Bad Gateway" }, statuses)
+        }
+
+    private companion object {
+        const val CRASHING_PART = "crashing"
+        const val SERVERS = 8
+        const val PAUSE_MILLIS = 500L
+    }
+}
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import kotlinx.collections.immutable.toPersistentList
+import org.yuccajunction.forward.PromptPart
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Reads and writes headers with plain names for tests. */
@@ -12,6 +14,7 @@
             headers.get("key"),
             headers.get("limit")?.toInt()?.milliseconds,
             totalTokens = null,
+            promptParts = headers.get("parts")?.split(',').orEmpty().map { PromptPart(it, 10) }.toPersistentList(),
         )
 
     override fun isForwarded(name: String): Boolean = name.lowercase() !in setOf("key", "limit", "server")
