Keep quarantined prompt parts in the platform's store

What entries know of such parts was lost when all of them ended at once, as when all machines lose power; servers would have ended again until three more had. One entry, by rendezvous hashing, stores each part; each entry reads them once at its start.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -51,6 +51,11 @@
         LogLevel.INFO,
         "A request with a quarantined part was answered; the part is no longer refused.",
     ),
+    QUARANTINE_UNSTORED(
+        5009,
+        LogLevel.WARN,
+        "A call for the stored quarantined prompt parts failed; the entry repeats it.",
+    ),
     VERSION_VETOED(6001, LogLevel.WARN, "A new version is faulty or slow; this entry sends it no new requests."),
     MOVE_CHANGED(6002, LogLevel.INFO, "The move of a service to a new version has reached another phase or share."),
     MOVE_STATUS_ANSWERED(6003, LogLevel.INFO, "The store answered a write of the status of a move."),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/PromptQuarantine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/PromptQuarantine.kt
@@ -63,14 +63,14 @@
         val terms = partsOf(request).mapNotNull { part -> quarantined[part]?.let { part to it } }
         val (part, term) = terms.maxByOrNull { it.second.endsAt.nanoseconds } ?: return null
         if (now < term.endsAt) return minOf(term.endsAt - now, MAX_RETRY_AFTER)
-        return if (isTrialEntry(part, entries)) beginTrial(part, term, now) else MAX_RETRY_AFTER
+        return if (isResponsibleFor(part, entries)) beginTrial(part, term, now) else MAX_RETRY_AFTER
     }
 
     /** Lets one request with [part] pass; a later one is refused until the trial is over. */
     private fun beginTrial(part: Long, term: Term, now: MonotonicTime): Duration? {
-        onDecision(QuarantineDecision.Tried(part, now - term.since))
         quarantined[part] = Term(now, term.trials + 1)
         isReportUrgent = true
+        onDecision(QuarantineDecision.Tried(part, now - term.since))
         return null
     }
 
@@ -125,7 +125,7 @@
         if (releasedAt[reported.part].let { it != null && it > since }) return
         if (known != null && known.trials >= reported.trials) return
         quarantined[reported.part] = Term(since, reported.trials)
-        if (known == null) onDecision(QuarantineDecision.ReportedByPeer(reported.part))
+        if (known == null) onDecision(QuarantineDecision.Learned(reported.part))
     }
 
     private fun release(part: Long, answeredAt: MonotonicTime) {
@@ -153,7 +153,12 @@
         }
     }
 
-    private fun isTrialEntry(part: Long, entries: List<String>): Boolean =
+    /** Returns what is to be stored of [part], null if it is not quarantined. */
+    public fun reportOf(part: Long, now: MonotonicTime): PartReport? =
+        quarantined[part]?.let { PartReport(part, (now - it.since).inWholeMilliseconds, it.trials) }
+
+    /** Returns whether this entry, of all [entries], stores what is known of [part] and tries the part again. */
+    public fun isResponsibleFor(part: Long, entries: List<String>): Boolean =
         entries.minByOrNull { RendezvousHash.score(RendezvousHash.hash(it), part) } == entry
 
     private fun partsOf(request: ForwardRequest): List<Long> =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/QuarantineDecision.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/QuarantineDecision.kt
@@ -10,8 +10,8 @@
     /** The part is not sent any more: the servers of [incarnations] ended under it. */
     public data class Quarantined(override val part: Long, public val incarnations: List<String>) : QuarantineDecision
 
-    /** A peer has reported that the part is quarantined. */
-    public data class ReportedByPeer(override val part: Long) : QuarantineDecision
+    /** A peer or the store has reported that the part is quarantined. */
+    public data class Learned(override val part: Long) : QuarantineDecision
 
     /** One request with the part is sent after [quarantinedFor], to find out whether the part still ends servers. */
     public data class Tried(override val part: Long, public val quarantinedFor: Duration) : QuarantineDecision
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -11,7 +11,9 @@
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.quarantine.PartReport
 import org.yuccajunction.quarantine.PromptQuarantine
+import org.yuccajunction.quarantine.QuarantineDecision
 import org.yuccajunction.quota.ServiceRetryBudget
 import org.yuccajunction.quota.UsageWindows
 import org.yuccajunction.quota.WorkspaceQuotas
@@ -44,7 +46,8 @@
     val usageWindows = UsageWindows(settings.bounds.usageWindow)
     val serverConnections = ServerConnections(this)
     val callerConnections = HashSet<CallerConnection>()
-    val quarantine = PromptQuarantine(settings.name, QuarantineTelemetry(log)::record)
+    private val quarantineTelemetry = QuarantineTelemetry(log)
+    val quarantine = PromptQuarantine(settings.name, ::quarantineDecided)
     val serverEndDetector = ServerEndDetector(this)
     val environment =
         ForwardEnvironment(
@@ -61,6 +64,9 @@
     /** Sends this entry's report to all peers; set before the first request. */
     var sendReportToAll: () -> Unit = {}
 
+    /** Stores what is known of a quarantined prompt part, null once the part is released; set with the former. */
+    var storeQuarantine: (part: Long, report: PartReport?) -> Unit = { _, _ -> }
+
     var fleet = FleetSnapshot()
         private set
 
@@ -82,6 +88,13 @@
         return loadBalancer.choose(query, now)
     }
 
+    private fun quarantineDecided(decision: QuarantineDecision) {
+        quarantineTelemetry.record(decision)
+        if (quarantine.isResponsibleFor(decision.part, fleet.entries)) {
+            storeQuarantine(decision.part, quarantine.reportOf(decision.part, now()))
+        }
+    }
+
     /** Reports to all peers soon, once for all that happens in [URGENT_REPORT_DELAY_MILLIS]. */
     fun reportUrgently() {
         if (isUrgentReportScheduled) return
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -7,8 +7,10 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.launch
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.duty.DutyLease
+import org.yuccajunction.quarantine.QuarantineReport
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
@@ -48,7 +50,7 @@
         controlPlane = ControlPlane(dataPlane, gatewayPorts.store, gatewayPorts.source, log)
         peers = PeerGossip(dataPlane, controlPlane, gatewayPorts.store, log, incarnation)
         val scope = CoroutineScope(SupervisorJob() + controlLoop.asCoroutineDispatcher() + exceptionHandler())
-        dataPlane.sendReportToAll = { controlLoop.execute { peers.exchangeHeartbeats(isBroadcast = true) } }
+        startQuarantine(QuarantineArchive(gatewayPorts.store, log), scope)
         peers.start(controlGroup, scope)
         Confirmations(dataPlane, controlPlane, peers).start(scope)
         val lease = DutyLease(gatewayPorts.store, settings.name, incarnation, dataPlane.clock::now)
@@ -66,6 +68,17 @@
         }
     }
 
+    private fun startQuarantine(archive: QuarantineArchive, scope: CoroutineScope) {
+        dataPlane.sendReportToAll = { scope.launch { peers.exchangeHeartbeats(isBroadcast = true) } }
+        dataPlane.storeQuarantine = { part, report ->
+            scope.launch { if (report == null) archive.remove(part) else archive.save(report) }
+        }
+        scope.launch {
+            val stored = QuarantineReport(quarantined = archive.load())
+            dataPlane.loop.execute { dataPlane.quarantine.recordPeer(stored, dataPlane.now()) }
+        }
+    }
+
     private fun startRollouts(ports: GatewayPorts, lease: DutyLease, scope: CoroutineScope) {
         val isDutyHolder = { lease.isPresumedHolder }
         val rollouts = Rollouts(dataPlane, controlPlane, peers, ports.source, ports.rolloutStatuses, isDutyHolder, log)
--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/QuarantineArchive.kt
@@ -0,0 +1,111 @@
+package org.yuccajunction.gateway
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.yuccajunction.control.LogEvent
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoredObject
+import org.yuccajunction.quarantine.PartReport
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Keeps the quarantined prompt parts in the platform's store, so that they outlast the end of all entries.
+ *
+ * Each part is one object. Confined to the control thread.
+ *
+ * @param wallMillis returns the Unix time in milliseconds
+ * @param retryDelay time until a call is repeated that the store did not answer
+ */
+internal class QuarantineArchive(
+    private val store: ObjectStore,
+    private val log: DecisionLog,
+    private val wallMillis: () -> Long = System::currentTimeMillis,
+    private val retryDelay: Duration = 1.seconds,
+) {
+    /** Returns the parts that were quarantined before this entry started; waits until the store answers. */
+    suspend fun load(): List<PartReport> {
+        while (true) {
+            val listing = store.list(KIND)
+            if (listing is ObjectListing.Listed) return listing.objects.mapNotNull(::decode)
+            waitAfterFailure("list", listing)
+        }
+    }
+
+    /** Stores [report] in place of an earlier one of the part. */
+    suspend fun save(report: PartReport) {
+        val stored = StoredPart(report.part, wallMillis() - report.ageMillis, report.trials)
+        val value = Json.encodeToString(StoredPart.serializer(), stored)
+        writeUntilDone("write", keyOf(report.part)) { key, expected -> store.write(key, value, expected) }
+    }
+
+    /** Removes what is stored of [part], which servers have answered. */
+    suspend fun remove(part: Long) {
+        writeUntilDone("remove", keyOf(part)) { key, expected ->
+            if (expected is ExpectedVersion.Absent) null else store.remove(key, expected)
+        }
+    }
+
+    /** Performs [write] on the newest version of the object at [key]; null means that nothing is to be written. */
+    private suspend fun writeUntilDone(
+        call: String,
+        key: String,
+        write: suspend (key: String, expected: ExpectedVersion) -> ObjectWriting?,
+    ) {
+        while (true) {
+            val reading = store.read(key)
+            val expected =
+                when (reading) {
+                    is ObjectReading.Found -> ExpectedVersion.Is(reading.stored.version)
+                    is ObjectReading.Absent -> ExpectedVersion.Absent
+                    is ObjectReading.Unavailable -> null
+                }
+            val outcome = if (expected == null) reading else write(key, expected) ?: return
+            if (outcome is ObjectWriting.Written) return
+            waitAfterFailure(call, outcome)
+        }
+    }
+
+    private suspend fun waitAfterFailure(call: String, outcome: Any) {
+        log.write(LogEvent.QUARANTINE_UNSTORED) {
+            field("call", call)
+            field("outcome", outcome)
+        }
+        delay(retryDelay)
+    }
+
+    private fun decode(stored: StoredObject): PartReport? {
+        val value = stored.value ?: return null
+        return try {
+            val part = Json.decodeFromString(StoredPart.serializer(), value)
+            PartReport(part.part, maxOf(0, wallMillis() - part.sinceMillis), part.trials)
+        } catch (exception: SerializationException) {
+            log.write(LogEvent.OBJECT_UNREADABLE) {
+                field("key", stored.key)
+                field("detail", exception.message)
+            }
+            null
+        }
+    }
+
+    /**
+     * The stored form of a quarantined part.
+     *
+     * @property sinceMillis Unix time in milliseconds of the quarantine or of the last trial
+     */
+    @Serializable
+    private class StoredPart(val part: Long, val sinceMillis: Long, val trials: Int = 0)
+
+    private companion object {
+        const val KIND = "prompt-quarantines"
+        const val RADIX = 16
+
+        fun keyOf(part: Long): String = "$KIND/${part.toString(RADIX)}"
+    }
+}
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/QuarantineTelemetry.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/QuarantineTelemetry.kt
@@ -10,7 +10,7 @@
             field("part", decision.part.toString(radix = HEXADECIMAL))
             when (decision) {
                 is QuarantineDecision.Quarantined -> field("endedServers", decision.incarnations.joinToString(","))
-                is QuarantineDecision.ReportedByPeer -> field("source", "peer")
+                is QuarantineDecision.Learned -> field("source", "report")
                 is QuarantineDecision.Tried -> field("quarantinedSeconds", decision.quarantinedFor.inWholeSeconds)
                 is QuarantineDecision.Released -> Unit
             }
@@ -19,7 +19,7 @@
 
     private fun eventOf(decision: QuarantineDecision): LogEvent =
         when (decision) {
-            is QuarantineDecision.Quarantined, is QuarantineDecision.ReportedByPeer -> LogEvent.PROMPT_QUARANTINED
+            is QuarantineDecision.Quarantined, is QuarantineDecision.Learned -> LogEvent.PROMPT_QUARANTINED
             is QuarantineDecision.Tried -> LogEvent.PROMPT_TRIED
             is QuarantineDecision.Released -> LogEvent.PROMPT_RELEASED
         }
