--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptFleet.kt
@@ -20,11 +20,9 @@
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.Endpoint
-import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.quarantine.PromptQuarantine
-import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,14 +36,12 @@
  */
 class CrashingPromptFleet(seed: Int, private val entryCount: Int, serverCount: Int) {
     private val random = Random(seed)
-    private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
-    private var order = 0L
+    private val time = SimulatedTime(random)
     private val names = List(entryCount) { "entry-$it" }
     private val servers = List(serverCount) { Server(it) }
     private val entries = names.map { Entry(it) }
     private var requestCount = 0
-    var now: Duration = Duration.ZERO
-        private set
+    val now: Duration get() = time.now
 
     /** Times at which servers ended by a request with the crashing part. */
     val crashes: ArrayList<Duration> = ArrayList()
@@ -63,39 +59,18 @@
 
     init {
         publish()
-        entries.forEach { entry -> at(random.nextInt(HEARTBEAT_MILLIS).milliseconds) { heartbeat(entry) } }
-    }
-
-    private class Event(val at: Duration, val order: Long, val run: () -> Unit)
-
-    private fun at(time: Duration, run: () -> Unit) {
-        events += Event(time, order++, run)
+        entries.forEach { entry -> time.at(random.nextInt(HEARTBEAT_MILLIS).milliseconds) { heartbeat(entry) } }
     }
 
-    private fun after(delay: Duration, run: () -> Unit) = at(now + delay, run)
+    private fun after(delay: Duration, run: () -> Unit) = time.after(delay, run)
 
-    private fun clock() = START + now
+    private fun clock() = time.clock()
 
-    /** Runs until [time]; requests arrive at the given rates per second. */
-    fun run(time: Duration, soundPerSecond: Double, crashingPerSecond: Double) {
-        schedule(time, soundPerSecond) { arrive(crashingPart = null) }
-        schedule(time, crashingPerSecond) { arrive(CRASHING_PART) }
-        while (events.isNotEmpty() && events.peek().at <= time) {
-            val event = events.remove()
-            now = event.at
-            event.run()
-        }
-        now = time
-    }
-
-    private fun schedule(until: Duration, perSecond: Double, run: () -> Unit) {
-        if (perSecond <= 0.0) return
-        var next = now
-        while (true) {
-            next += (-kotlin.math.ln(1.0 - random.nextDouble()) / perSecond).seconds
-            if (next > until) break
-            at(next, run)
-        }
+    /** Runs until [until]; requests arrive at the given rates per second. */
+    fun run(until: Duration, soundPerSecond: Double, crashingPerSecond: Double) {
+        time.repeatAtRandom(until, soundPerSecond) { arrive(crashingPart = null) }
+        time.repeatAtRandom(until, crashingPerSecond) { arrive(CRASHING_PART) }
+        time.runUntil(until)
     }
 
     private fun publish() {
@@ -321,7 +296,6 @@
         const val MAX_TARGETS = 16
         const val LOST_FRACTION = 0.02
         const val MAX_DELAY_MILLIS = 60
-        val START = MonotonicTime.ZERO + 100.seconds
         val SERVICE = ServiceName("service")
         val ROUTE =
             ForwardRoute(
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/PartitionedFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/PartitionedFleet.kt
@@ -25,8 +25,6 @@
 import org.yuccajunction.relay.PeerRelays
 import org.yuccajunction.relay.RelayPeer
 import org.yuccajunction.relay.ServiceReachability
-import java.util.PriorityQueue
-import kotlin.math.ln
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,8 +37,7 @@
  */
 class PartitionedFleet(seed: Int, entryCount: Int, serverCount: Int) {
     private val random = Random(seed)
-    private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
-    private var order = 0L
+    private val time = SimulatedTime(random)
     private val names = List(entryCount) { "entry-$it" }
     private val servers =
         List(serverCount) {
@@ -55,8 +52,7 @@
     private val down = HashSet<BackendServerId>()
     private val entries = names.map { Entry(it) }
     private val partitioned = HashMap<Entry, LinkFault>()
-    var now: Duration = Duration.ZERO
-        private set
+    val now: Duration get() = time.now
 
     /** How links to servers fail. */
     enum class LinkFault { HANG, RESET }
@@ -98,33 +94,17 @@
             )
         entries.forEach { it.balancer.update(snapshot, clock()) }
         entries.forEach { entry -> (entries - entry).forEach { it.relays.recordPeer(entry.report()) } }
-        entries.forEach { entry -> at(random.nextInt(HEARTBEAT_MILLIS).milliseconds) { heartbeat(entry) } }
-    }
-
-    private class Event(val at: Duration, val order: Long, val run: () -> Unit)
-
-    private fun at(time: Duration, run: () -> Unit) {
-        events += Event(time, order++, run)
+        entries.forEach { entry -> time.at(random.nextInt(HEARTBEAT_MILLIS).milliseconds) { heartbeat(entry) } }
     }
 
-    private fun after(delay: Duration, run: () -> Unit) = at(now + delay, run)
+    private fun after(delay: Duration, run: () -> Unit) = time.after(delay, run)
 
-    private fun clock() = START + now
+    private fun clock() = time.clock()
 
-    /** Runs until [time] with [perSecond] requests that arrive at random entries. */
-    fun run(time: Duration, perSecond: Double) {
-        var next = now
-        while (true) {
-            next += (-ln(1.0 - random.nextDouble()) / perSecond).seconds
-            if (next > time) break
-            at(next) { Call(entries.random(random)).start() }
-        }
-        while (events.isNotEmpty() && events.peek().at <= time) {
-            val event = events.remove()
-            now = event.at
-            event.run()
-        }
-        now = time
+    /** Runs until [until] with [perSecond] requests that arrive at random entries. */
+    fun run(until: Duration, perSecond: Double) {
+        time.repeatAtRandom(until, perSecond) { Call(entries.random(random)).start() }
+        time.runUntil(until)
     }
 
     /** Partitions the first [count] entries from all servers. */
@@ -319,7 +299,6 @@
         const val ZONES = 4
         val TIME_LIMIT = 1_500.milliseconds
         val CONNECT_TIMEOUT = 300.milliseconds
-        val START = MonotonicTime.ZERO + 100.seconds
         val SERVICE = ServiceName("service")
         val ROUTE =
             ForwardRoute(
