Divide the slots of brittle servers among the entries

Servers that name how many rejections in a second they stand (Server-Brittle) fell over, and their load moved to the others, which fell over too: nothing read the header, and each entry filled servers until they rejected. While any answer of a service names a bound, known to all entries by heartbeats, each entry keeps to its part of the slots of each server.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -62,6 +62,7 @@
         "This entry reaches no server of a service; it forwards requests through peers that do.",
     ),
     SERVICE_REACHABLE(5011, LogLevel.INFO, "This entry reaches servers of a service again."),
+    SERVICE_BRITTLE(5012, LogLevel.INFO, "A server has named how many rejections in a second it stands."),
     VERSION_VETOED(6001, LogLevel.WARN, "A new version is faulty or slow; this entry sends it no new requests."),
     MOVE_CHANGED(6002, LogLevel.INFO, "The move of a service to a new version has reached another phase or share."),
     MOVE_STATUS_ANSWERED(6003, LogLevel.INFO, "The store answered a write of the status of a move."),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -26,6 +26,8 @@
  * @property moves what the entry knows of ordered moves of services to other versions
  * @property requestLimits requests per second that servers have named to the entry as their limits, by server
  * @property unreachableServices services of which the entry reaches no server
+ * @property brittleServices rejections per second that each server of a service stands, where its answers name that
+ * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was a short time ago
  * @property quarantine what the entry knows of prompt parts under which servers have ended
  * @property liftedLimits servers that have named a limit to the entry and no longer do
  */
@@ -52,4 +54,6 @@
     public val leavingServers: List<String> = emptyList(),
     public val quarantine: QuarantineReport = QuarantineReport(),
     public val unreachableServices: List<String> = emptyList(),
+    public val brittleServices: Map<String, Double> = emptyMap(),
+    public val rejectionAgesMillis: Map<String, Long> = emptyMap(),
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
@@ -106,6 +106,8 @@
                 leavingServers = emptyList(),
                 quarantine = QuarantineReport(),
                 unreachableServices = emptyList(),
+                brittleServices = emptyMap(),
+                rejectionAgesMillis = emptyMap(),
             )
         }
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -19,6 +19,7 @@
  * and learns from the answers how long a request takes. Confined to the traffic thread.
  *
  * @param onPrediction gets the predicted and the measured milliseconds of each first event or whole answer
+ * @param onUrgentReport is called when peers should know at once what this entry has learned
  */
 public class LoadBalancer(
     private val entry: String,
@@ -27,10 +28,14 @@
     private val settings: LoadBalancingSettings = LoadBalancingSettings(),
     private val onPrediction: (service: ServiceName, predictedMillis: Double, measuredMillis: Double) -> Unit =
         { _, _, _ -> },
+    private val onUrgentReport: () -> Unit = {},
 ) {
     /** The limits that servers name in their answers. */
     public val requestLimits: RequestLimits = RequestLimits(entry)
 
+    /** Services whose servers fall over when they turn away too many requests. */
+    public val brittleServers: BrittleServers = BrittleServers(entry)
+
     /** Which servers have said in their answers that they want no new requests. */
     public val notices: ServerNotices = ServerNotices()
     private val loads = HashMap<BackendServerId, ServerLoad>()
@@ -135,6 +140,7 @@
         val connections = maxOf(MIN_CONNECTIONS, service.maxConnections / maxOf(1, snapshot.entries.size))
         if (!notices.permits(load.server, load.lastReceivedAt, now)) return false
         if (load.inFlight >= connections || !requestLimits.permits(load.server.id, snapshot.entries, now)) return false
+        if (!brittleServers.permits(load, snapshot, now)) return false
         return coldStarts.permits(load.server, service.coldRequestsPerSecond, snapshot.entries, now)
     }
 
@@ -168,6 +174,7 @@
         snapshot.versions.trials[server.service]?.let { versionSplit.recordAttempt(it, server) }
         coldStarts.recordRequest(server)
         requestLimits.recordRequest(server.id)
+        brittleServers.recordRequest(load, snapshot.entries)
         costs.workMillis(load, request, prefillTokens)?.let { millis ->
             work.getOrPut(server.service) { WorkMeter(now) }.add(millis, now)
         }
@@ -221,6 +228,7 @@
         if (!ticket.hasAnswer) load.pendingPrefillTokens = maxOf(0, load.pendingPrefillTokens - ticket.prefillTokens)
         if (end == null && ticket.hasAnswer) versionSplit.recordDuration(ticket.route?.name, now - ticket.startedAt)
         load.recordOutcome(failureWeight(end), now)
+        if (end == AttemptEnd.REJECTED && brittleServers.recordRejection(load.server.service, now)) onUrgentReport()
         if (end == AttemptEnd.UNREACHABLE || end == AttemptEnd.SILENT || end == AttemptEnd.MISPLACED) {
             load.suspectUntil = now + settings.suspicionTime
         }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/SharedServerRate.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/SharedServerRate.kt
@@ -2,7 +2,6 @@
 
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
-import org.yuccajunction.routing.RendezvousHash
 import kotlin.time.DurationUnit
 
 /**
@@ -11,11 +10,9 @@
  * For each server, every entry ranks the live entries in the same order, by rendezvous hashing. Only the first ones may
  * send requests to the server, each by a token bucket that holds one request and gets an equal part of the rate.
  */
-internal class SharedServerRate(private val entry: String) {
-    private val ownHash = RendezvousHash.hash(entry)
+internal class SharedServerRate(entry: String) {
+    private val ranks = EntryRanks(entry)
     private val buckets = HashMap<BackendServerId, TokenBucket>()
-    private var rankedEntries = emptyList<String>()
-    private var otherHashes = emptyList<Long>()
 
     /**
      * Returns whether [server] may get a request at [now].
@@ -31,7 +28,7 @@
         now: MonotonicTime,
     ): Boolean {
         val permittedEntries = minOf(sendingEntries, maxOf(1, entries.size))
-        if (rank(server, entries) >= permittedEntries) return false
+        if (ranks.rank(server, entries) >= permittedEntries) return false
         val bucket = buckets.getOrPut(server) { TokenBucket(now) }
         bucket.refill(ratePerSecond / permittedEntries, now)
         return bucket.level >= 1.0
@@ -47,16 +44,6 @@
         buckets.keys.retainAll(known)
     }
 
-    private fun rank(server: BackendServerId, entries: List<String>): Int {
-        if (entries !== rankedEntries) {
-            rankedEntries = entries
-            otherHashes = entries.filter { it != entry }.map(RendezvousHash::hash)
-        }
-        val key = RendezvousHash.hash(server.value)
-        val own = RendezvousHash.score(ownHash, key)
-        return otherHashes.count { RendezvousHash.score(it, key) > own }
-    }
-
     private class TokenBucket(private var refilledAt: MonotonicTime) {
         var level = 1.0
 
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/BrittleFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/BrittleFleet.kt
@@ -89,8 +89,9 @@
         time.after((HEARTBEAT_MILLIS + random.nextInt(-40, 40)).milliseconds) { heartbeat(entry) }
     }
 
-    private inner class Entry(name: String) {
-        val balancer = LoadBalancer(name, AvailabilityZone("zone"), Random(random.nextInt()))
+    private inner class Entry(val name: String) {
+        val balancer =
+            LoadBalancer(name, AvailabilityZone("zone"), Random(random.nextInt()), onUrgentReport = ::reportToAll)
         val environment =
             ForwardEnvironment(
                 chooseServer = balancer::choose,
@@ -99,7 +100,21 @@
                 isGone = balancer::isGone,
             )
 
-        fun accept(sender: Entry) = Unit
+        fun accept(sender: Entry) {
+            val now = time.clock()
+            balancer.brittleServers.recordPeer(sender.name, sender.balancer.brittleServers.named(now))
+            sender.balancer.brittleServers.rejectionAges(now).forEach { (service, age) ->
+                balancer.brittleServers.recordRejection(service, now - age)
+            }
+        }
+
+        /** Reports to all other entries; some datagrams get lost, and each arrives a little later. */
+        private fun reportToAll() {
+            for (peer in entries - this) {
+                if (random.nextDouble() < LOST_FRACTION) continue
+                time.after(random.nextInt(20, MAX_DELAY_MILLIS).milliseconds) { peer.accept(this) }
+            }
+        }
     }
 
     private inner class Server(number: Int) {
@@ -165,6 +180,7 @@
         fun answer(load: LoadReport) {
             val balancer = call.entry.balancer
             balancer.recordLoadReport(server.id, load, time.clock())
+            if (isBrittle) balancer.brittleServers.record(SERVICE, BRITTLE_LIMIT.toDouble(), time.clock())
             if (isOver) return
             isOver = true
             balancer.recordFirstAnswer(ticket, time.clock())
@@ -233,6 +249,8 @@
         /** Rejections in a second that a server stands. */
         const val BRITTLE_LIMIT: Int = 8
         private const val OK = 200
+        private const val LOST_FRACTION = 0.02
+        private const val MAX_DELAY_MILLIS = 80
         private const val HEARTBEAT_MILLIS = 450
         private val SERVICE = ServiceName("service")
         private val ROUTE =
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerHead.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerHead.kt
@@ -15,6 +15,7 @@
  * @property requestsPerSecond rate that the server takes from all entries together, null where it names no limit
  * @property isLeaving whether the server says that it leaves and wants no new requests
  * @property pause time for which the server that rejects a request wants no other from this entry, null for none
+ * @property rejectionsPerSecond rejections in a second beyond which the server falls over, null where it names none
  * @property keepAliveSeconds how long the server keeps an idle connection open, null where the answer does not say
  * @property closesConnection whether the server closes the connection after the answer
  */
@@ -31,6 +32,7 @@
     public val requestsPerSecond: Double? = null,
     public val isLeaving: Boolean = false,
     public val pause: Duration? = null,
+    public val rejectionsPerSecond: Double? = null,
 ) {
     /** Whether the status is 2xx. */
     public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -10,6 +10,7 @@
 import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.model.ServiceName
 import org.yuccajunction.model.WorkspaceId
 import org.yuccajunction.quarantine.PartReport
 import org.yuccajunction.quarantine.PromptQuarantine
@@ -40,7 +41,13 @@
     val random: Random = Random.Default
     private val predictions = PredictionTelemetry(metrics, log)
     val loadBalancer =
-        LoadBalancer(settings.name, settings.availabilityZone, random, onPrediction = predictions::record)
+        LoadBalancer(
+            settings.name,
+            settings.availabilityZone,
+            random,
+            onPrediction = predictions::record,
+            onUrgentReport = ::reportUrgently,
+        )
     val quotas = WorkspaceQuotas(settings.bounds.quotaTolerance, System.currentTimeMillis(), startedAt = now())
     val retryBudget =
         with(settings.bounds) { ServiceRetryBudget(retryBudgetRatio, retryBudgetBase, retryBudgetWindow) }
@@ -205,6 +212,11 @@
             leavingServers = loadBalancer.notices.leavingIncarnations(),
             quarantine = quarantine.report(now()),
             unreachableServices = relays.unreachableServices,
+            brittleServices = loadBalancer.brittleServers.named(now()).mapKeys { it.key.value },
+            rejectionAgesMillis =
+            loadBalancer.brittleServers.rejectionAges(now()).entries.associate {
+                it.key.value to it.value.inWholeMilliseconds
+            },
         )
 
     /**
@@ -216,6 +228,7 @@
         val now = now()
         quotas.updateLiveEntries(live, known, now)
         loadBalancer.requestLimits.retainPeers(live)
+        loadBalancer.brittleServers.retainPeers(live)
         relays.acceptHeartbeats(heartbeats, live)
         for (heartbeat in heartbeats) {
             loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
@@ -223,6 +236,13 @@
                 loadBalancer.notices.recordEnded(it.incarnation, now - it.ageMillis.milliseconds)
             }
             quarantine.recordPeer(heartbeat.quarantine, now)
+            loadBalancer.brittleServers.recordPeer(
+                heartbeat.name,
+                heartbeat.brittleServices.mapKeys { ServiceName(it.key) },
+            )
+            heartbeat.rejectionAgesMillis.forEach { (service, age) ->
+                loadBalancer.brittleServers.recordRejection(ServiceName(service), now - age.milliseconds)
+            }
             loadBalancer.requestLimits.recordPeer(
                 heartbeat.name,
                 heartbeat.requestLimits.mapKeys { BackendServerId(it.key) },
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -230,6 +230,8 @@
             leavingServers = report.leavingServers,
             quarantine = report.quarantine,
             unreachableServices = report.unreachableServices,
+            brittleServices = report.brittleServices,
+            rejectionAgesMillis = report.rejectionAgesMillis,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -111,6 +111,7 @@
     /** Records what the server tells of the requests that it wants. */
     private fun recordWishes(head: AnswerHead) {
         recordLimit(head)
+        head.rejectionsPerSecond?.let(::recordBrittleness)
         head.pause?.let(::recordPause)
         if (head.isLeaving && dataPlane.loadBalancer.notices.recordLeaving(server)) {
             dataPlane.log.write(LogEvent.SERVER_LEAVING) { field("server", server.id) }
@@ -125,6 +126,17 @@
         }
     }
 
+    private fun recordBrittleness(rejectionsPerSecond: Double) {
+        val service = server.service
+        if (!dataPlane.loadBalancer.brittleServers.record(service, rejectionsPerSecond, dataPlane.now())) return
+        dataPlane.reportUrgently()
+        dataPlane.log.write(LogEvent.SERVICE_BRITTLE) {
+            field("service", service)
+            field("server", server.id)
+            field("rejectionsPerSecond", rejectionsPerSecond)
+        }
+    }
+
     private fun recordLimit(head: AnswerHead) {
         if (!dataPlane.loadBalancer.recordRequestLimit(server.id, head.requestsPerSecond, dataPlane.now())) return
         dataPlane.log.write(LogEvent.SERVER_LIMIT_CHANGED) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -13,6 +13,8 @@
  * @property liftedLimits servers that have named a limit and no longer do
  * @property leavingServers incarnations of servers that have said in their answers that they leave
  * @property unreachableServices services of which this entry reaches no server
+ * @property brittleServices rejections per second that each server of a service stands, where its answers name that
+ * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was a short time ago
  * @property quarantine what this entry knows of prompt parts under which servers have ended
  */
 internal class TrafficReport(
@@ -25,4 +27,6 @@
     val leavingServers: List<String>,
     val quarantine: QuarantineReport,
     val unreachableServices: List<String>,
+    val brittleServices: Map<String, Double>,
+    val rejectionAgesMillis: Map<String, Long>,
 )
