--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/BrittleServers.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/BrittleServers.kt
@@ -21,7 +21,7 @@
     private val namedToPeers = HashMap<String, Map<ServiceName, Double>>()
     private val rejectedAt = HashMap<ServiceName, MonotonicTime>()
 
-    /** Records that an answer of [service] named the bound of [rejectionsPerSecond]; returns whether it is a new one. */
+    /** Records that an answer of [service] named the bound [rejectionsPerSecond]; returns whether it is a new one. */
     public fun record(service: ServiceName, rejectionsPerSecond: Double, now: MonotonicTime): Boolean {
         val known = boundOf(service, now)
         named[service] = Bound(rejectionsPerSecond, now)
@@ -38,7 +38,7 @@
         namedToPeers.keys.retainAll(live)
     }
 
-    /** Records that a server of [service] turned a request away at [time]; returns whether peers should know at once. */
+    /** Records a rejection by a server of [service] at [time]; returns whether peers should know at once. */
     public fun recordRejection(service: ServiceName, time: MonotonicTime): Boolean {
         val last = rejectedAt[service]
         if (last == null || time > last) rejectedAt[service] = time
@@ -59,12 +59,9 @@
         val bound = boundOf(load.server.service, now) ?: return true
         if (load.inFlight < ownSlots(load.server, entries)) return true
         if (rejectedAt[load.server.service].let { it != null && now - it < CAUTION }) return false
-        if (isShort(load.server.service, fleet) &&
-            load.requests(now) < load.server.slots * SAFE_SLOTS_FRACTION
-        ) {
-            return true
-        }
-        return risk.permits(load.server.id, bound * RISKED_FRACTION, RISKING_ENTRIES, entries, now)
+        val isHalfEmpty = load.requests(now) < load.server.slots * SAFE_SLOTS_FRACTION
+        return isHalfEmpty && isShort(load.server.service, fleet) ||
+            risk.permits(load.server.id, bound * RISKED_FRACTION, RISKING_ENTRIES, entries, now)
     }
 
     /** Counts a request that is sent to the server of [load]. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -41,6 +41,7 @@
     private val loads = HashMap<BackendServerId, ServerLoad>()
     private val costs = ServerCostEstimator(settings, availabilityZone)
     private val coldStarts = ColdStartLimiter(entry)
+    private val permits = ServerPermits(requestLimits, notices, brittleServers, coldStarts)
     private val work = HashMap<ServiceName, WorkMeter>()
     private val versionSplit = VersionSplit(random)
     private var snapshot = FleetSnapshot()
@@ -89,7 +90,7 @@
             val spread = 1.0 + random.nextDouble(PAUSE_RETRY_SPREAD)
             return ServerChoice.Refuse(RefusalCause.NO_CAPACITY, pause * spread)
         }
-        val available = all.filter { it.server.id !in query.excluded && acceptsRequest(it, now) }
+        val available = all.filter { it.server.id !in query.excluded && permits.holdReason(it, snapshot, now) == null }
         val candidates = available.filterNot { it.isSuspect(now) }.ifEmpty { available }
         return chooseCheapest(candidates, query, PrefixAffinity(query.request, all), now)
     }
@@ -134,16 +135,6 @@
         return (predictedMillis - idleMillis).takeIf { it > WaitLimit.longestMillis(request, idleMillis) }
     }
 
-    /** Returns whether one more request stays within this entry's part of the connections and of the limits by rate. */
-    private fun acceptsRequest(load: ServerLoad, now: MonotonicTime): Boolean {
-        val service = snapshot.configuration?.services?.get(load.server.service) ?: return false
-        val connections = maxOf(MIN_CONNECTIONS, service.maxConnections / maxOf(1, snapshot.entries.size))
-        if (!notices.permits(load.server, load.lastReceivedAt, now)) return false
-        if (load.inFlight >= connections || !requestLimits.permits(load.server.id, snapshot.entries, now)) return false
-        if (!brittleServers.permits(load, snapshot, now)) return false
-        return coldStarts.permits(load.server, service.coldRequestsPerSecond, snapshot.entries, now)
-    }
-
     /** Returns the server with the lowest cost and the predicted latency there in milliseconds. */
     private fun cheapest(
         loads: List<ServerLoad>,
@@ -288,9 +279,6 @@
         const val LEAST_RETRY_MILLIS = 200
         const val LONGEST_RETRY_MILLIS = 3_000
 
-        /** Connections to a server that each entry may use, also if its part of the limit is smaller. */
-        const val MIN_CONNECTIONS = 4
-
         /** Excess over the failure fraction of the best server up to which failures do not raise the cost. */
         const val FAILURE_TOLERANCE_FRACTION = 0.1
 
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/BrittleServerTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/BrittleServerTest.kt
@@ -6,7 +6,7 @@
 
 /** Many entries before servers that fall over when they turn away too many requests; under a hand-moved clock. */
 class BrittleServerTest {
-    /** Guards against entries that end servers by what they send to full ones, as when a burst or a silence moves load. */
+    /** Guards against entries that end servers by what they send to full ones. */
     @Test
     fun `brittle servers fall over no more often than twice and a tenth of their number`() {
         for ((entries, servers, slots) in FLEETS) {
