Break off bytes without end from a backend server, and read no more of a stream than its caller takes

A server may send bytes that are no answer until the connection is closed. Interim answers and the body of an answer to another request were read until the deadline of the request, as each read counts as a sign of life; after 16 such answers or 1 MiB the attempt now ends. A stream whose caller reads nothing was read without bound (71 MB in a second); the entry now stops reading from the server while the caller's buffer is full, and does not take that for silence.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -132,10 +132,15 @@
         fail(FailureCause.ENTRY_STOPPED)
     }
 
-    /** Checks the deadline and whether the current attempt is overdue at the time [now]. */
-    public fun tick(now: MonotonicTime) {
+    /**
+     * Checks the deadline and whether the current attempt is overdue at the time [now].
+     *
+     * No attempt is overdue while the entry has stopped reading from the server, because [isWaitingForCaller].
+     */
+    public fun tick(now: MonotonicTime, isWaitingForCaller: Boolean = false) {
         if (isEnded) return
         if (now >= request.deadline) return endAtDeadline()
+        if (isWaitingForCaller) return
         val current = server ?: return
         val mayMove = hasAttemptAndTimeLeft(now) && executions.hasRemainingBeside(current.id)
         if (mayMove && isOverdue(current, now)) moveToOtherServer(current, now)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
@@ -19,6 +19,7 @@
     private val isStream = isUsable && head.isSuccess && exchange.request.route.isStream
     private val splitter = if (isStream) EventSplitter() else null
     private val body: ByteBuf = Unpooled.buffer(0)
+    private var heldBytes = 0
 
     /** Whether the answer has no length and no chunks, so that only the end of the connection ends the body. */
     val isCloseDelimited: Boolean =
@@ -27,13 +28,28 @@
             !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
             response.status().code() !in BODILESS_STATUSES
 
-    /** Adds [content] to the answer; returns false where the body or one of its events is too large. */
+    /** Adds [content] to the answer; returns false where the body or one of its events is too large to be held. */
     fun add(content: ByteBuf): Boolean {
-        if (splitter == null) return addToBody(content)
+        val isSmallEnough = if (splitter == null) addToBody(content) else addToStream(splitter, content)
+        return isSmallEnough && holdsBytes(splitter?.partialEventBytes ?: body.readableBytes())
+    }
+
+    private fun addToStream(splitter: EventSplitter, content: ByteBuf): Boolean {
         splitter.add(content) { event -> exchange.streamEventReceived(attempt, response, event) }
         return !splitter.isEventTooLarge
     }
 
+    private fun holdsBytes(bytes: Int): Boolean {
+        val added = bytes - heldBytes
+        heldBytes = bytes
+        return exchange.dataPlane.answerMemory.adjust(added)
+    }
+
+    /** Gives back the memory of the answer, which is not read any further. */
+    fun close() {
+        holdsBytes(0)
+    }
+
     private fun addToBody(content: ByteBuf): Boolean {
         if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) return false
         body.writeBytes(content)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -170,8 +170,6 @@
         writeAnswer(HttpResponseStatus.valueOf(status), DefaultHttpHeaders(), errorBody(code))
     }
 
-    private fun errorBody(code: String): ByteBuf = Unpooled.copiedBuffer("{\"error\":\"$code\"}", Charsets.UTF_8)
-
     /** Writes [head] as the status line and headers of a streamed answer. */
     fun writeStreamHead(head: HttpResponse) {
         head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
@@ -187,6 +185,13 @@
         channel.flush()
     }
 
+    /** Whether the caller has taken enough of what was written for more to be written. */
+    val isWritable: Boolean get() = channel.isWritable
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        exchange?.callerWritabilityChanged()
+    }
+
     /** Ends a streamed answer as complete. */
     fun endStream() {
         writeLast(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -262,3 +267,5 @@
         val PEER_IDLE_TIMEOUT = 30.seconds
     }
 }
+
+private fun errorBody(code: String): ByteBuf = Unpooled.copiedBuffer("{\"error\":\"$code\"}", Charsets.UTF_8)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -53,6 +53,7 @@
         with(settings.bounds) { ServiceRetryBudget(retryBudgetRatio, retryBudgetBase, retryBudgetWindow) }
     val usageWindows = UsageWindows(settings.bounds.usageWindow)
     val serverConnections = ServerConnections(this)
+    val answerMemory = AnswerMemory()
     val callerConnections = HashSet<CallerConnection>()
     private val quarantineTelemetry = QuarantineTelemetry(log)
     val quarantine = PromptQuarantine(settings.name, ::quarantineDecided)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EventSplitter.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EventSplitter.kt
@@ -15,6 +15,9 @@
     /** Whether the buffer holds bytes of an event whose end has not arrived. */
     val hasPartialEvent: Boolean get() = pending.isReadable
 
+    /** Number of bytes of an event whose end has not arrived. */
+    val partialEventBytes: Int get() = pending.readableBytes()
+
     /** Whether the partial event exceeds [maxEventBytes]. */
     val isEventTooLarge: Boolean get() = pending.readableBytes() > maxEventBytes
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -49,7 +49,12 @@
         machine.start(dataPlane.now())
     }
 
-    fun tick(now: MonotonicTime) = machine.tick(now)
+    fun tick(now: MonotonicTime) = machine.tick(now, isWaitingForCaller = machine.isStreaming && !caller.isWritable)
+
+    /** Reads on from the server, or stops reading, depending on whether the caller takes more of the stream. */
+    fun callerWritabilityChanged() {
+        attempt?.connection?.setReading(caller.isWritable)
+    }
 
     fun callerLeft() {
         if (machine.isEnded) return
@@ -121,7 +126,7 @@
 
     /** Handles a whole event of the stream that answers [attempt]; an event that was already passed on is dropped. */
     fun streamEventReceived(attempt: ServerAttempt, response: HttpResponse, event: ServerSentEvent) {
-        if (attempt.isOver || machine.isEnded) return release(event)
+        if (attempt.isOver || machine.isEnded) return event.release()
         countUsageOnce(attempt)
         attempt.trial.eventReceived(attempt, dataPlane.now())
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, dataPlane.now())
@@ -130,14 +135,11 @@
         streamHead = streamHead ?: response
         machine.streamStarted(attempt.number)
         val number = event.id?.toLongOrNull()
-        if (number != null && number <= lastEventNumber) return release(event)
+        if (number != null && number <= lastEventNumber) return event.release()
         if (number != null) lastEventNumber = number
         caller.writeStreamBytes(event.bytes)
         event.id?.let(machine::eventForwarded)
-    }
-
-    private fun release(event: ServerSentEvent) {
-        event.bytes.release()
+        if (!caller.isWritable) attempt.connection?.setReading(false)
     }
 
     /** Handles the complete end of the stream that answers [attempt]. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -26,6 +26,14 @@
     private lateinit var channel: Channel
     private var attempt: ServerAttempt? = null
     private var answer: AnswerReader? = null
+        set(value) {
+            field?.close()
+            field = value
+        }
+
+    /** Answers and bytes that belong to no request, since the current one was sent. */
+    private var skippedAnswers = 0
+    private var skippedBytes = 0L
     private var isRequestWritten = true
     private var isStateUncertain = false
     private var hasConnectionError = false
@@ -50,6 +58,8 @@
         this.attempt = attempt
         attempt.connection = this
         isRequestWritten = false
+        skippedAnswers = 0
+        skippedBytes = 0
         decoder.isAnswerToHead = request.method() == HttpMethod.HEAD
         val isSingleWrite = request.content().readableBytes() < MAX_SINGLE_WRITE_BYTES
         channel.writeAndFlush(request).addListener { future ->
@@ -74,6 +84,7 @@
     /** Abandons the current attempt and closes the connection. */
     fun abortAttempt() {
         attempt = null
+        answer = null
         close()
     }
 
@@ -105,7 +116,11 @@
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
         if (!isForAnotherRequest && !head.isMisplaced && !server.isPeerEntry) recordWishes(head)
         if (isForAnotherRequest || head.closesConnection) isStateUncertain = true
-        answer = if (isForAnotherRequest || head.status < OK) null else AnswerReader(current, response, head)
+        val isSkipped = isForAnotherRequest || head.status < OK
+        answer = if (isSkipped) null else AnswerReader(current, response, head)
+        if (!isSkipped) return
+        skippedAnswers += 1
+        if (skippedAnswers > MAX_SKIPPED_ANSWERS) failAttempt(AttemptEnd.INVALID)
     }
 
     /** Records what the server tells of the requests that it wants. */
@@ -147,12 +162,22 @@
     }
 
     private fun addContent(content: HttpContent) {
-        val reader = answer ?: return
+        val reader = answer ?: return skip(content)
         if (!reader.add(content.content())) return failAttempt(AttemptEnd.INVALID)
         if (attempt == null) return
         if (content is LastHttpContent) finishAnswer(reader)
     }
 
+    private fun skip(content: HttpContent) {
+        skippedBytes += content.content().readableBytes()
+        if (skippedBytes > MAX_SKIPPED_BYTES) failAttempt(AttemptEnd.INVALID)
+    }
+
+    /** Reads on, or reads no more until the next call. */
+    fun setReading(isReading: Boolean) {
+        channel.config().isAutoRead = isReading
+    }
+
     private fun finishAnswer(reader: AnswerReader) {
         if (reader.isCloseDelimited && hasConnectionError) return failAttempt(AttemptEnd.BROKEN)
         answer = null
@@ -190,5 +215,9 @@
         const val OK = 200
         const val MAX_SINGLE_WRITE_BYTES = 8_192
         val DEFAULT_KEEP_ALIVE = 6.seconds
+
+        /** Interim answers and late answers to other requests that are skipped before the answer to a request. */
+        const val MAX_SKIPPED_ANSWERS = 16
+        const val MAX_SKIPPED_BYTES = 1_048_576L
     }
 }
