Check the links after a silent attempt only if no other server of the service is in contact

A silent attempt opened a connection to its server each time, also where only that server was silent; new connections are not free.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EntryRelays.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EntryRelays.kt
@@ -11,6 +11,7 @@
 import org.yuccajunction.relay.RelayPeer
 import org.yuccajunction.relay.ServiceReachability
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Forwards requests through peers while this entry reaches no server of a service.
@@ -60,8 +61,12 @@
             it > time
     }
 
-    /** Tries to connect to [server], at which an attempt was silent, unless that is being tried. */
-    fun verify(server: BackendServer) {
+    /** Tries to connect to [server], at which an attempt was silent, unless others of its service are in contact. */
+    fun verifyAfterSilence(server: BackendServer) {
+        if (!hadContactSince(server.service, dataPlane.now() - RECENT_CONTACT)) verify(server)
+    }
+
+    private fun verify(server: BackendServer) {
         if (server.isPeerEntry || !verified.add(server.id)) return
         dataPlane.serverConnections.probe(server) { verified.remove(server.id) }
     }
@@ -103,5 +108,8 @@
     private companion object {
         /** Time between two attempts to connect to a server of a service that this entry does not reach. */
         const val PROBE_INTERVAL_MILLIS = 250L
+
+        /** Time without contact to a service after which a silent attempt may be due to the links of this entry. */
+        val RECENT_CONTACT = 400.milliseconds
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -166,7 +166,7 @@
         val connection = current.connection
         if (!current.markOver()) return
         connection?.abortAttempt()
-        if (isSilent(current)) dataPlane.relays.verify(current.server)
+        if (isSilent(current)) dataPlane.relays.verifyAfterSilence(current.server)
         current.trial.cancelled(current, isSilent(current), dataPlane.now())
         dataPlane.loadBalancer.endAttempt(
             current.ticket,
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -69,13 +69,8 @@
     }
 
     private fun recordOutcome(server: BackendServer, future: ChannelFuture) {
-        if (future.isSuccess) {
-            dataPlane.relays.recordConnection(
-                server,
-            )
-        } else {
-            dataPlane.relays.recordConnectionFailure(server)
-        }
+        val relays = dataPlane.relays
+        if (future.isSuccess) relays.recordConnection(server) else relays.recordConnectionFailure(server)
     }
 
     private fun initializer(server: BackendServer) =
