Name requests that come again in the lines of broken attempts, and server ends that stay unconfirmed

Broken attempts now name a fingerprint of method, host, target, workspace and body; event 5013 says that no contact confirmed an end. Digests are computed for broken attempts only.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -63,6 +63,11 @@
     ),
     SERVICE_REACHABLE(5011, LogLevel.INFO, "This entry reaches servers of a service again."),
     SERVICE_BRITTLE(5012, LogLevel.INFO, "A server has named how many rejections in a second it stands."),
+    SERVER_END_UNCONFIRMED(
+        5013,
+        LogLevel.WARN,
+        "A server refuses connections after requests broke there, and no contact shows that the entry's links work.",
+    ),
     VERSION_VETOED(6001, LogLevel.WARN, "A new version is faulty or slow; this entry sends it no new requests."),
     MOVE_CHANGED(6002, LogLevel.INFO, "The move of a service to a new version has reached another phase or share."),
     MOVE_STATUS_ANSWERED(6003, LogLevel.INFO, "The store answered a write of the status of a move."),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardRequest.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardRequest.kt
@@ -5,6 +5,7 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.routing.RendezvousHash
 
 /**
  * A request that an entry forwards to a backend server of [service].
@@ -17,6 +18,7 @@
  * @property promptTokens length of the prompt in tokens, 0 if the request does not give it
  * @property answerTokens greatest number of tokens to generate
  * @property isRelayed whether another entry forwards the request through this one, which must reach a server itself
+ * @property fingerprint identifies the request among all others, the same each time that the caller sends it
  * @property promptParts parts of the prompt in order; the last belongs to this request or its session alone
  */
 public data class ForwardRequest(
@@ -31,4 +33,5 @@
     public val answerTokens: Int = 0,
     public val promptParts: PersistentList<PromptPart> = persistentListOf(),
     public val isRelayed: Boolean = false,
+    public val fingerprint: Lazy<Long> = lazyOf(RendezvousHash.hash(id)),
 )
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ExchangeTelemetry.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ExchangeTelemetry.kt
@@ -22,6 +22,7 @@
             field("version", server.version)
             field("end", end)
             field("parts", request.promptParts.joinToString(",") { it.id }.ifEmpty { null })
+            if (end == AttemptEnd.BROKEN) field("fingerprint", java.lang.Long.toHexString(request.fingerprint.value))
             field("millis", (dataPlane.now() - request.receivedAt).inWholeMilliseconds)
         }
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
@@ -126,6 +126,8 @@
             answerTokens = head.answerTokens,
             promptParts = head.promptParts,
             isRelayed = isOfPeer,
+            fingerprint =
+            lazy(LazyThreadSafetyMode.NONE) { RequestFingerprints.of(received.head, received.body, policy?.id) },
         )
 
     private fun exchange(received: ReceivedRequest, caller: CallerConnection, admitted: Admitted): Exchange {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerEndDetector.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerEndDetector.kt
@@ -44,7 +44,7 @@
         checksLeft: Int,
     ) {
         if (dataPlane.relays.hadContactSince(server.service, refusedAt)) return recordEnd(server, requests)
-        if (checksLeft == 0) return
+        if (checksLeft == 0) return reportUnconfirmed(server, requests)
         dataPlane.relays.verifyAny(server.service)
         dataPlane.loop.schedule(
             { recordEndOnceSure(server, requests, refusedAt, checksLeft - 1) },
@@ -53,6 +53,12 @@
         )
     }
 
+    private fun reportUnconfirmed(server: BackendServer, requests: List<ForwardRequest>) =
+        dataPlane.log.write(LogEvent.SERVER_END_UNCONFIRMED) {
+            field("server", server.id)
+            field("requests", requests.joinToString(",") { it.id })
+        }
+
     private fun recordEnd(server: BackendServer, requests: List<ForwardRequest>) {
         val now = dataPlane.now()
         dataPlane.log.write(LogEvent.SERVER_ENDED) {
