--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingFleet.kt
@@ -102,7 +102,8 @@
                 Revision(1),
                 persistentListOf(),
                 persistentMapOf(
-                    CRASHING_FLEET_SERVICE to ForwardService(CRASHING_FLEET_SERVICE, 400, engine = EngineCapacity(64, 444_000)),
+                    CRASHING_FLEET_SERVICE to
+                        ForwardService(CRASHING_FLEET_SERVICE, 400, engine = EngineCapacity(64, 444_000)),
                 ),
             )
         val listed = servers.filter { it.isListed }.map { it.listing }.associateBy { it.id }.toPersistentMap()
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingPromptTest.kt
@@ -13,13 +13,16 @@
     fun `requests with a part that ends servers reach at most three servers later than contact time after the fifth`() {
         for ((entries, servers, soundPerSecond) in FLEETS) {
             for (seed in 1..SEEDS) {
-                val fleet = CrashingPromptFleet(seed, entries, servers)
-                fleet.run(5.seconds, soundPerSecond, 0.0)
-                fleet.run(65.seconds, soundPerSecond, crashingPerSecond = 2.5)
-                val fifth = fleet.crashes.getOrNull(4)
-                val later = fleet.crashingAttempts.count { fifth != null && it > fifth + CONTACT_TIME }
+                val fleet = CrashingFleet(seed, entries, servers)
+                val part = Culprit()
+                fleet.run(5.seconds, soundPerSecond)
+                fleet.send(65.seconds, perSecond = 2.5) {
+                    fleet.work(WorkKind.STREAM, part = "crashing", culprit = part)
+                }
+                fleet.run(65.seconds, soundPerSecond)
+                val later = part.arrivalsAfter(crash = 5, delay = CONTACT_TIME)
                 val seen =
-                    "$entries entries, seed $seed: ${fleet.crashes.size} ends, $later requests after the fifth, " +
+                    "$entries entries, seed $seed: ${part.crashes.size} ends, $later requests after the fifth, " +
                         "${fleet.soundQuarantined} of ${fleet.soundRequests} sound requests refused for their prompt"
                 println(seen)
                 assertTrue(later <= 3, seen)
@@ -28,22 +31,24 @@
         }
     }
 
-    /** Guards against sound requests that are refused because their servers ended for causes outside all prompts. */
+    /** Guards against sound requests that are refused because their servers ended for causes outside all requests. */
     @Test
     fun `ends of hosts, availability zones and reclaimed servers keep no request from the servers`() {
         for ((entries, servers, soundPerSecond) in FLEETS) {
             for (seed in 1..SEEDS) {
-                val fleet = CrashingPromptFleet(seed, entries, servers)
-                fleet.run(5.seconds, soundPerSecond, 0.0)
+                val fleet = CrashingFleet(seed, entries, servers)
+                fleet.run(5.seconds, soundPerSecond)
                 fleet.endServers(spread = 50.milliseconds) { it % 4 == 0 }
-                fleet.run(15.seconds, soundPerSecond, 0.0)
+                fleet.run(15.seconds, soundPerSecond)
                 fleet.endServers(spread = 8.seconds) { it % 2 == 1 }
-                fleet.run(30.seconds, soundPerSecond, 0.0)
+                fleet.run(30.seconds, soundPerSecond)
                 repeat(8) { host ->
                     fleet.endServers(spread = 10.milliseconds) { it == host % servers }
-                    fleet.run(31.seconds + host.seconds, soundPerSecond, 0.0)
+                    fleet.run(31.seconds + host.seconds, soundPerSecond)
                 }
-                val seen = "$entries entries, seed $seed: ${fleet.soundQuarantined} of ${fleet.soundRequests} refused"
+                val seen =
+                    "$entries entries, seed $seed: ${fleet.soundQuarantined} refused and ${fleet.soundFailed} failed " +
+                        "of ${fleet.soundRequests}"
                 println(seen)
                 assertEquals(0, fleet.soundQuarantined, seen)
             }
