--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -40,21 +40,17 @@
     SERVER_LEAVING(5003, LogLevel.INFO, "A backend server has said in an answer that it leaves."),
     SERVER_PAUSED(5004, LogLevel.INFO, "A backend server has rejected a request and wants none for some time."),
     SERVER_ENDED(5005, LogLevel.INFO, "A backend server has ended while this entry had requests open there."),
-    PROMPT_QUARANTINED(
+    REQUESTS_QUARANTINED(
         5006,
         LogLevel.WARN,
-        "Backend servers have ended under requests with one part in their prompts; such requests are refused.",
-    ),
-    PROMPT_TRIED(5007, LogLevel.WARN, "One request with a quarantined part in its prompt is sent again."),
-    PROMPT_RELEASED(
-        5008,
-        LogLevel.INFO,
-        "A request with a quarantined part was answered; the part is no longer refused.",
+        "Backend servers have ended under one request, or requests with one part in their prompts; it is refused.",
     ),
+    QUARANTINE_TRIED(5007, LogLevel.WARN, "A quarantined request, or one with a quarantined part, is sent once again."),
+    QUARANTINE_RELEASED(5008, LogLevel.INFO, "A server has answered what was quarantined; it is no longer refused."),
     QUARANTINE_UNSTORED(
         5009,
         LogLevel.WARN,
-        "A call for the stored quarantined prompt parts failed; the entry repeats it.",
+        "A call for what is stored of the quarantine failed; the entry repeats it.",
     ),
     SERVICE_UNREACHABLE(
         5010,
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -28,7 +28,7 @@
  * @property unreachableServices services of which the entry reaches no server
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
- * @property quarantine what the entry knows of prompt parts under which servers have ended
+ * @property quarantine what the entry knows of requests and prompt parts under which servers have ended
  * @property liftedLimits servers that have named a limit to the entry and no longer do
  */
 @Serializable
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -27,6 +27,9 @@
     private var answeredAttempt: Int? = null
     private var lastEventId: String? = null
 
+    /** Whether the next attempt waits until the request may be sent. */
+    private var isWaiting = false
+
     /** Whether the current attempt has brought an event of a stream. */
     private var hasEvents = false
     private val executions = RequestExecutions(request.route.maxExecutions, environment.isGone)
@@ -49,18 +52,16 @@
     /** Sends the request to a server, or refuses the request if no server can take it in time. */
     public fun start(now: MonotonicTime) {
         if (request.deadline - now < MINIMUM_REMAINING_TIME) return refuse(RefusalCause.TOO_LATE, RETRY_AFTER)
-        when (val choice = chooseServer(now)) {
-            is ServerChoice.Use -> dispatch(choice.server, now)
-            is ServerChoice.Refuse -> refuse(choice.cause, choice.retryAfter)
-        }
+        tryNextServer(now)?.let(::endRequest)
     }
 
     /** Handles the end of [attempt] without an answer; retries at another server if that is allowed. */
     public fun attemptEnded(attempt: Int, end: AttemptEnd, now: MonotonicTime) {
         if (isEnded || attempt != this.attempt) return
         if (!closeAttempt(end)) return
-        if (mayRetryAfter(end, now) && tryNextServer(now)) return
-        endRequestAfter(end)
+        if (mayRetryAfter(end, now) && tryNextServer(now) == null) return
+        val cause = if (end == AttemptEnd.REJECTED) RefusalCause.NO_CAPACITY else RefusalCause.ATTEMPTS_SPENT
+        endRequest(ServerChoice.Refuse(cause, RETRY_AFTER))
     }
 
     /** Handles a whole answer to [attempt] with the HTTP [status]; the driver holds the answer. */
@@ -72,14 +73,14 @@
         }
         closeAttempt(AttemptEnd.FAILED)
         answeredAttempt = attempt
-        if (mayRetryAfter(AttemptEnd.FAILED, now) && tryNextServer(now)) return
+        if (mayRetryAfter(AttemptEnd.FAILED, now) && tryNextServer(now) == null) return
         deliverFailedAnswer()
     }
 
     /** Handles the whole answer of a peer entry to [attempt]; the peer has made all retries that are allowed. */
     public fun peerAnswered(attempt: Int) {
         if (isEnded || attempt != this.attempt) return
-        if (isStreaming) return endRequestAfter(AttemptEnd.FAILED)
+        if (isStreaming) return fail(FailureCause.OUTCOME_UNKNOWN)
         isEnded = true
         actions.deliver(attempt)
     }
@@ -92,7 +93,7 @@
     public fun peerRefused(attempt: Int, cause: RefusalCause, retryAfter: Duration, now: MonotonicTime) {
         if (isEnded || attempt != this.attempt) return
         if (!closeAttempt(AttemptEnd.REJECTED)) return
-        if (cause.isOfEntry && mayRetryAfter(AttemptEnd.REJECTED, now) && tryNextServer(now)) return
+        if (cause.isOfEntry && mayRetryAfter(AttemptEnd.REJECTED, now) && tryNextServer(now) == null) return
         if (isStreaming || mayHaveExecuted) return fail(FailureCause.OUTCOME_UNKNOWN)
         refuse(cause, retryAfter)
     }
@@ -139,15 +140,18 @@
      */
     public fun tick(now: MonotonicTime, isWaitingForCaller: Boolean = false) {
         if (isEnded) return
-        if (now >= request.deadline) return endAtDeadline()
-        if (isWaitingForCaller) return
-        val current = server ?: return
-        val mayMove = hasAttemptAndTimeLeft(now) && executions.hasRemainingBeside(current.id)
-        if (mayMove && isOverdue(current, now)) moveToOtherServer(current, now)
+        when {
+            now >= request.deadline -> endAtDeadline()
+            isWaiting -> tryNextServer(now)?.let(::endRequest)
+            !isWaitingForCaller -> moveIfOverdue(now)
+        }
     }
 
-    /** Retries at another server, though [current] may still be executing the request. */
-    private fun moveToOtherServer(current: BackendServer, now: MonotonicTime) {
+    /** Retries at another server if the current attempt is overdue, though its server may still be executing it. */
+    private fun moveIfOverdue(now: MonotonicTime) {
+        val current = server ?: return
+        val mayMove = hasAttemptAndTimeLeft(now) && executions.hasRemainingBeside(current.id)
+        if (!mayMove || !isOverdue(current, now)) return
         val choice = chooseServer(now, triedServers.add(current.id))
         if (choice !is ServerChoice.Use || !environment.tryTakeRetry(request.service, now)) return
         actions.cancel(attempt)
@@ -178,18 +182,26 @@
     private fun hasAttemptAndTimeLeft(now: MonotonicTime): Boolean =
         attempt < MAX_ATTEMPTS && request.deadline - now >= MINIMUM_REMAINING_TIME
 
-    private fun tryNextServer(now: MonotonicTime): Boolean {
-        val choice = chooseServer(now) as? ServerChoice.Use ?: return false
-        if (executions.hasReachedServer && !environment.tryTakeRetry(request.service, now)) return false
-        dispatch(choice.server, now)
-        return true
+    /** Sends the request to another server, or waits for one; returns why it can do neither, else null. */
+    private fun tryNextServer(now: MonotonicTime): ServerChoice.Refuse? {
+        val choice = chooseServer(now)
+        isWaiting = choice is ServerChoice.Wait
+        when (choice) {
+            is ServerChoice.Wait -> return null
+            is ServerChoice.Refuse -> return choice
+            is ServerChoice.Use -> {
+                val isPermitted = !executions.hasReachedServer || environment.tryTakeRetry(request.service, now)
+                if (isPermitted) dispatch(choice.server, now)
+                return if (isPermitted) null else ServerChoice.Refuse(RefusalCause.ATTEMPTS_SPENT, RETRY_AFTER)
+            }
+        }
     }
 
-    private fun endRequestAfter(end: AttemptEnd) {
+    /** Ends the request with the best answer that there is; it is refused only if no server may have executed it. */
+    private fun endRequest(refusal: ServerChoice.Refuse) {
         if (answeredAttempt != null) return deliverFailedAnswer()
         if (isStreaming || mayHaveExecuted) return fail(FailureCause.OUTCOME_UNKNOWN)
-        val cause = if (end == AttemptEnd.REJECTED) RefusalCause.NO_CAPACITY else RefusalCause.ATTEMPTS_SPENT
-        refuse(cause, RETRY_AFTER)
+        refuse(refusal.cause, refusal.retryAfter)
     }
 
     private fun deliverFailedAnswer() {
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
@@ -22,8 +22,8 @@
     ENTRY_LEAVING(503, "entry-leaving", isOfEntry = true),
     TOO_LATE(503, "too-late"),
 
-    /** Backend servers have ended under requests with a part of this prompt. */
-    CRASHING_PROMPT(503, "crashing-prompt"),
+    /** Backend servers have ended under this request, or under others with a part of its prompt. */
+    CRASHING_REQUEST(503, "crashing-request"),
     ;
 
     public companion object {
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/ServerEndReport.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/ServerEndReport.kt
@@ -9,11 +9,13 @@
  *
  * @property incarnation identity of the incarnation, see [org.yuccajunction.fleet.BackendServer.incarnation]
  * @property ageMillis milliseconds since the end
- * @property parts hashes of the prompt parts of the requests that the entry had open there without an event
+ * @property parts prompt parts of the requests that the entry had open there without an event
+ * @property requests the requests that the entry had open there
  */
 @Serializable
 public data class ServerEndReport(
     public val incarnation: String,
     public val ageMillis: Long,
-    public val parts: List<Long> = emptyList(),
+    public val parts: List<Suspect> = emptyList(),
+    public val requests: List<RequestAtEnd> = emptyList(),
 )
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/CrashingFleet.kt
@@ -18,11 +18,13 @@
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.Endpoint
+import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.Revision
-import org.yuccajunction.quarantine.PartReport
-import org.yuccajunction.quarantine.PromptQuarantine
-import org.yuccajunction.quarantine.QuarantineDecision
+import org.yuccajunction.quarantine.BrokenAttempt
+import org.yuccajunction.quarantine.CrashQuarantine
 import org.yuccajunction.quarantine.QuarantineReport
+import org.yuccajunction.quarantine.Suspect
+import org.yuccajunction.quarantine.SuspectReport
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -40,7 +42,7 @@
     private val names = List(entryCount) { "entry-$it" }
     private val servers = List(serverCount) { Server(it) }
     private val entries = names.map { Entry(it) }
-    private val stored = HashMap<Long, StoredReport>()
+    private val stored = HashMap<Suspect, StoredReport>()
     private var requestCount = 0
     val now: Duration get() = time.now
 
@@ -127,7 +129,6 @@
     }
 
     private fun heartbeat(entry: Entry) {
-        entry.quarantine.takeUrgency()
         exchange(entry, entries.shuffled(random).take(MAX_TARGETS))
         after((HEARTBEAT_MILLIS + random.nextInt(-40, 40)).milliseconds) { heartbeat(entry) }
     }
@@ -142,49 +143,63 @@
     }
 
     private inner class Entry(private val name: String) {
-        var quarantine = PromptQuarantine(name, ::decided)
+        var quarantine = CrashQuarantine(name, { store() }, ::reportUrgently)
         val balancer = LoadBalancer(name, AvailabilityZone("zone-a"), Random(random.nextInt()))
         val environment =
             ForwardEnvironment(
                 chooseServer = { query, now ->
-                    quarantine.refusal(query.request, names, now)
-                        ?.let { ServerChoice.Refuse(RefusalCause.CRASHING_PROMPT, it) }
-                        ?: balancer.choose(query, now)
+                    quarantine.chooseServer(query, names, now) { balancer.choose(it, now) }
                 },
                 tryTakeRetry = { _, _ -> true },
                 isSilent = { _, _, _ -> false },
                 isGone = balancer::isGone,
             )
-        private val endedRequests = HashMap<String, ArrayList<ForwardRequest>>()
+        private val checked = HashSet<String>()
+        private var isReporting = false
+
+        /** Reports to all entries soon, once for all that happens until then. */
+        private fun reportUrgently() {
+            if (isReporting) return
+            isReporting = true
+            after(20.milliseconds) {
+                isReporting = false
+                exchange(this, entries)
+            }
+        }
 
-        private fun decided(decision: QuarantineDecision) {
-            if (!quarantine.isResponsibleFor(decision.part, names)) return
-            val report = quarantine.reportOf(decision.part, clock())
-            if (report == null) stored.remove(decision.part) else stored[decision.part] = StoredReport(report, now)
+        private fun store() {
+            for (change in quarantine.takeUnstored(names, clock())) {
+                val report = change.report
+                if (report ==
+                    null
+                ) {
+                    stored.remove(change.suspect)
+                } else {
+                    stored[change.suspect] = StoredReport(report, now)
+                }
+            }
         }
 
         fun restart() {
-            quarantine = PromptQuarantine(name, ::decided)
-            endedRequests.clear()
+            quarantine = CrashQuarantine(name, { store() }, ::reportUrgently)
+            checked.clear()
             quarantine.recordPeer(QuarantineReport(quarantined = stored.values.map { it.aged(now) }), clock())
         }
 
         /** Records that [attempt] broke; whether its server has ended is known a little later. */
         fun attemptBroke(attempt: Attempt) {
-            if (attempt.hasEvents) return
             val incarnation = attempt.server.incarnation
-            val known = endedRequests[incarnation]
-            endedRequests.getOrPut(incarnation) { ArrayList() } += attempt.call.request
-            if (known != null) return
+            quarantine.recordBreak(incarnation, attempt.broken())
+            if (!checked.add(incarnation)) return
             after(40.milliseconds) {
-                quarantine.recordServerEnd(incarnation, endedRequests.remove(incarnation).orEmpty(), clock())
-                if (quarantine.takeUrgency()) exchange(this, entries)
+                if (!checked.remove(incarnation)) return@after
+                quarantine.recordServerEnd(incarnation, clock())
             }
         }
     }
 
     /** What the store holds of [report], which was written at [at]. */
-    private class StoredReport(private val report: PartReport, private val at: Duration) {
+    private class StoredReport(private val report: SuspectReport, private val at: Duration) {
         fun aged(now: Duration) = report.copy(ageMillis = report.ageMillis + (now - at).inWholeMilliseconds)
     }
 
@@ -273,24 +288,33 @@
     private inner class Attempt(val call: Call, val number: Int, val server: BackendServer) {
         private val ticket = call.entry.balancer.beginAttempt(server, call.request, clock())
         val serving: Server get() = servers[server.endpoint.port - 1]
-        var hasEvents = false
-            private set
+        private val execution = call.entry.quarantine.beginExecution(call.request, server.id, clock())
+        private val startedAt = clock()
+        private var firstEventAt: MonotonicTime? = null
         private var isOver = false
 
+        fun broken() = BrokenAttempt(call.request, startedAt, clock(), firstEventAt)
+
         fun answerBegins() {
             if (isOver) return
-            hasEvents = true
+            firstEventAt = clock()
             call.entry.balancer.recordFirstAnswer(ticket, clock())
-            call.entry.quarantine.recordProgress(call.request, clock())
+            call.entry.quarantine.recordEvent(call.request, clock())
             call.machine.streamStarted(number)
             call.machine.eventForwarded("1")
         }
 
         fun complete() {
             if (!finish(end = null)) return
-            call.entry.quarantine.recordProgress(call.request, clock())
+            call.entry.quarantine.recordAnswer(call.request, clock())
             if (call.work.isSound) soundAnswered += 1
-            if (hasEvents) call.machine.streamCompleted(number) else call.machine.attemptAnswered(number, OK, clock())
+            if (firstEventAt !=
+                null
+            ) {
+                call.machine.streamCompleted(number)
+            } else {
+                call.machine.attemptAnswered(number, OK, clock())
+            }
         }
 
         fun end(end: AttemptEnd) {
@@ -306,6 +330,7 @@
         private fun finish(end: AttemptEnd?): Boolean {
             if (isOver) return false
             isOver = true
+            call.entry.quarantine.endExecution(execution)
             call.entry.balancer.endAttempt(ticket, end, clock())
             return true
         }
@@ -325,6 +350,7 @@
                 promptTokens = 800,
                 answerTokens = 100,
                 promptParts = work.parts.map { PromptPart(it, 200) }.toPersistentList(),
+                fingerprint = lazyOf(work.fingerprint),
             )
         val machine = ForwardMachine(request, entry.environment, this)
         private var attempt: Attempt? = null
@@ -349,7 +375,7 @@
         }
 
         override fun refuse(cause: RefusalCause, retryAfter: Duration) {
-            if (work.isSound && cause == RefusalCause.CRASHING_PROMPT) soundQuarantined += 1
+            if (work.isSound && cause == RefusalCause.CRASHING_REQUEST) soundQuarantined += 1
         }
 
         override fun cancel(attempt: Int) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
@@ -64,7 +64,7 @@
             head.isMisplaced -> attempt.end(AttemptEnd.MISPLACED)
             head.isNotExecuted -> attempt.end(AttemptEnd.REJECTED)
             // A server that ends before its first event closes the connection just as one that has sent all events.
-            isStream && isCloseDelimited && !attempt.hasEvents -> attempt.end(AttemptEnd.BROKEN)
+            isStream && isCloseDelimited && attempt.firstEventAt == null -> attempt.end(AttemptEnd.BROKEN)
             !isUsable || splitter?.hasPartialEvent == true -> attempt.end(AttemptEnd.INVALID)
             isStream -> exchange.streamCompleted(attempt, response)
             else -> exchange.answerReceived(attempt, BufferedAnswer(response.status(), response.headers(), body))
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -12,8 +12,8 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.model.WorkspaceId
-import org.yuccajunction.quarantine.PartReport
-import org.yuccajunction.quarantine.PromptQuarantine
+import org.yuccajunction.quarantine.CrashQuarantine
+import org.yuccajunction.quarantine.QuarantineChange
 import org.yuccajunction.quarantine.QuarantineDecision
 import org.yuccajunction.quota.ServiceRetryBudget
 import org.yuccajunction.quota.UsageWindows
@@ -56,7 +56,7 @@
     val answerMemory = AnswerMemory()
     val callerConnections = HashSet<CallerConnection>()
     private val quarantineTelemetry = QuarantineTelemetry(log)
-    val quarantine = PromptQuarantine(settings.name, ::quarantineDecided)
+    val quarantine = CrashQuarantine(settings.name, ::quarantineDecided, ::reportUrgently)
     val serverEndDetector = ServerEndDetector(this)
     val relays = EntryRelays(this)
     val environment =
@@ -74,8 +74,8 @@
     /** Sends this entry's report to all peers; set before the first request. */
     var sendReportToAll: () -> Unit = {}
 
-    /** Stores what is known of a quarantined prompt part, null once the part is released; set with the former. */
-    var storeQuarantine: (part: Long, report: PartReport?) -> Unit = { _, _ -> }
+    /** Stores a change of a quarantined suspect; set with the former. */
+    var storeQuarantine: (QuarantineChange) -> Unit = {}
 
     var fleet = FleetSnapshot()
         private set
@@ -91,10 +91,11 @@
 
     fun now(): MonotonicTime = MonotonicTime(System.nanoTime())
 
-    private fun chooseServer(query: ServerQuery, now: MonotonicTime): ServerChoice {
-        val retryAfter = quarantine.refusal(query.request, fleet.entries, now)
-        if (quarantine.takeUrgency()) reportUrgently()
-        if (retryAfter != null) return ServerChoice.Refuse(RefusalCause.CRASHING_PROMPT, retryAfter)
+    private fun chooseServer(query: ServerQuery, now: MonotonicTime): ServerChoice =
+        quarantine.chooseServer(query, fleet.entries, now) { chooseReachable(it, now) }
+
+    /** Returns a server, or a peer if this entry reaches no server of the service. */
+    private fun chooseReachable(query: ServerQuery, now: MonotonicTime): ServerChoice {
         val service = query.request.service
         if (relays.isReachable(service)) return loadBalancer.choose(query, now)
         if (query.request.isRelayed) return ServerChoice.Refuse(RefusalCause.NO_SERVER, UNREACHABLE_RETRY_AFTER)
@@ -108,11 +109,12 @@
 
     private fun quarantineDecided(decision: QuarantineDecision) {
         quarantineTelemetry.record(decision)
-        if (quarantine.isResponsibleFor(decision.part, fleet.entries)) {
-            storeQuarantine(decision.part, quarantine.reportOf(decision.part, now()))
-        }
+        storeQuarantineChanges()
     }
 
+    /** Stores what this entry is responsible for, also where another entry was that has ended since. */
+    private fun storeQuarantineChanges() = quarantine.takeUnstored(fleet.entries, now()).forEach(storeQuarantine)
+
     /** Reports to all peers soon, once for all that happens in [URGENT_REPORT_DELAY_MILLIS]. */
     fun reportUrgently() {
         if (isUrgentReportScheduled) return
@@ -120,7 +122,6 @@
         loop.schedule(
             {
                 isUrgentReportScheduled = false
-                quarantine.takeUrgency()
                 sendReportToAll()
             },
             URGENT_REPORT_DELAY_MILLIS,
@@ -133,6 +134,7 @@
         this.fleet = fleet
         loadBalancer.update(fleet, now())
         serverConnections.closeUnlisted(fleet)
+        serverEndDetector.fleetChanged()
         relays.retainServices()
     }
 
@@ -170,6 +172,7 @@
     /** Closes connections of callers and backend servers that were idle for too long; called twice a second. */
     fun closeIdleConnections() {
         val now = now()
+        storeQuarantineChanges()
         serverConnections.closeIdle(now)
         callerConnections.toList().forEach { it.enforceTimeouts(now) }
     }
@@ -235,6 +238,7 @@
             loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
             heartbeat.quarantine.ends.forEach {
                 loadBalancer.notices.recordEnded(it.incarnation, now - it.ageMillis.milliseconds)
+                serverEndDetector.peerReportedEnd(it.incarnation)
             }
             quarantine.recordPeer(heartbeat.quarantine, now)
             loadBalancer.brittleServers.recordPeer(
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EntryRelays.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EntryRelays.kt
@@ -61,6 +61,9 @@
             it > time
     }
 
+    /** Returns whether any server has been in contact since [time]. */
+    fun hadContactSince(time: MonotonicTime): Boolean = contactAt.values.any { it > time }
+
     /** Tries to connect to [server], at which an attempt was silent, unless others of its service are in contact. */
     fun verifyAfterSilence(server: BackendServer) {
         if (!hadContactSince(server.service, dataPlane.now() - RECENT_CONTACT)) verify(server)
@@ -71,9 +74,13 @@
         dataPlane.serverConnections.probe(server) { verified.remove(server.id) }
     }
 
-    /** Tries to connect to a random server of [service]. */
-    fun verifyAny(service: ServiceName) {
-        serversOf(service).randomOrNull(dataPlane.random)?.let(::verify)
+    /** Tries to connect to a random server of [service], or of any service if none is given. */
+    fun verifyAny(service: ServiceName? = null) {
+        val servers = dataPlane.fleet.servers.values.filter {
+            !it.isDraining &&
+                (service == null || it.service == service)
+        }
+        servers.randomOrNull(dataPlane.random)?.let(::verify)
     }
 
     /** Records the newest [heartbeats] of the [live] entries. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -75,6 +75,7 @@
         }
         val ticket = dataPlane.loadBalancer.beginAttempt(server, request, now)
         val started = ServerAttempt(this, attempt, server, ticket, now)
+        if (!server.isPeerEntry) started.execution = dataPlane.quarantine.beginExecution(request, server.id, now)
         this.attempt = started
         dataPlane.serverConnections.send(started, outgoing.to(server, lastEventId, now), request.route.mayRepeat)
     }
@@ -85,11 +86,7 @@
         attempt.trial.ended(attempt, end)
         dataPlane.loadBalancer.endAttempt(attempt.ticket, end, dataPlane.now())
         val mayHaveEnded = end == AttemptEnd.BROKEN || end == AttemptEnd.INVALID
-        if (mayHaveEnded && !attempt.hasEvents &&
-            !attempt.server.isPeerEntry
-        ) {
-            dataPlane.serverEndDetector.attemptBroke(attempt.server, request)
-        }
+        if (mayHaveEnded && !attempt.server.isPeerEntry) dataPlane.serverEndDetector.attemptBroke(attempt)
         machine.attemptEnded(attempt.number, end, dataPlane.now())
     }
 
@@ -103,7 +100,7 @@
             answer = buffered
             return machine.peerAnswered(attempt.number)
         }
-        if (status < MIN_SERVER_ERROR_STATUS) dataPlane.quarantine.recordProgress(request, now)
+        if (status < MIN_SERVER_ERROR_STATUS) dataPlane.quarantine.recordAnswer(request, now)
         attempt.trial.answered(attempt, isFailure = status >= MIN_SERVER_ERROR_STATUS, now)
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, now)
         dataPlane.loadBalancer.endAttempt(
@@ -130,8 +127,10 @@
         countUsageOnce(attempt)
         attempt.trial.eventReceived(attempt, dataPlane.now())
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, dataPlane.now())
-        if (!attempt.hasEvents) dataPlane.quarantine.recordProgress(request, dataPlane.now())
-        attempt.hasEvents = true
+        if (attempt.firstEventAt == null) {
+            attempt.firstEventAt = dataPlane.now()
+            dataPlane.quarantine.recordEvent(request, dataPlane.now())
+        }
         streamHead = streamHead ?: response
         machine.streamStarted(attempt.number)
         val number = event.id?.toLongOrNull()
@@ -147,6 +146,7 @@
         if (!attempt.markOver()) return
         val now = dataPlane.now()
         attempt.trial.answered(attempt, isFailure = false, now)
+        if (!attempt.server.isPeerEntry) dataPlane.quarantine.recordAnswer(request, now)
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, now)
         dataPlane.loadBalancer.endAttempt(attempt.ticket, null, now)
         streamHead = streamHead ?: response
@@ -166,6 +166,7 @@
         val connection = current.connection
         if (!current.markOver()) return
         connection?.abortAttempt()
+        if (!current.server.isPeerEntry) dataPlane.serverEndDetector.attemptGivenUp(current)
         if (isSilent(current)) dataPlane.relays.verifyAfterSilence(current.server)
         current.trial.cancelled(current, isSilent(current), dataPlane.now())
         dataPlane.loadBalancer.endAttempt(
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -70,9 +70,7 @@
 
     private fun startQuarantine(archive: QuarantineArchive, scope: CoroutineScope) {
         dataPlane.sendReportToAll = { scope.launch { peers.exchangeHeartbeats(isBroadcast = true) } }
-        dataPlane.storeQuarantine = { part, report ->
-            scope.launch { if (report == null) archive.remove(part) else archive.save(report) }
-        }
+        dataPlane.storeQuarantine = { change -> scope.launch { archive.store(change) } }
         scope.launch {
             val stored = QuarantineReport(quarantined = archive.load())
             dataPlane.loop.execute { dataPlane.quarantine.recordPeer(stored, dataPlane.now()) }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -33,6 +33,7 @@
 import org.yuccajunction.port.ObjectStore
 import org.yuccajunction.port.ObjectWriting
 import org.yuccajunction.port.StoredObject
+import org.yuccajunction.quarantine.QuarantineReport
 import org.yuccajunction.quota.UsageTotals
 import org.yuccajunction.rollout.MoveReport
 import java.net.InetSocketAddress
@@ -158,16 +159,20 @@
      * The heartbeat goes to the peers whose turn it is, or to all of them if [isBroadcast].
      */
     fun exchangeHeartbeats(isBroadcast: Boolean = false) {
+        handOverHeartbeats()
+        dataPlane.loop.execute {
+            val report = dataPlane.report()
+            channel.eventLoop().execute { sendHeartbeat(report, isBroadcast) }
+        }
+    }
+
+    private fun handOverHeartbeats() {
         val heartbeats = newHeartbeats.toList()
         newHeartbeats.clear()
         val live = table.livePeers(dataPlane.now()).map { it.name } + settings.name
         controlPlane.updateEntries(live.sorted())
         val known = table.knownEntries()
-        dataPlane.loop.execute {
-            dataPlane.acceptHeartbeats(heartbeats, live.toSet(), known)
-            val report = dataPlane.report()
-            channel.eventLoop().execute { sendHeartbeat(report, isBroadcast) }
-        }
+        dataPlane.loop.execute { dataPlane.acceptHeartbeats(heartbeats, live.toSet(), known) }
     }
 
     private fun sendHeartbeat(report: TrafficReport, isBroadcast: Boolean) {
@@ -258,6 +263,7 @@
         if (!table.recordHeartbeat(message.heartbeat, now)) return
         usageTotals.replaceCounts("${message.heartbeat.name}/${message.heartbeat.incarnation}", message.usage)
         newHeartbeats += message.heartbeat
+        if (message.heartbeat.quarantine != QuarantineReport()) handOverHeartbeats()
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/QuarantineArchive.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/QuarantineArchive.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.gateway
 
 import kotlinx.coroutines.delay
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -11,14 +12,16 @@
 import org.yuccajunction.port.ObjectStore
 import org.yuccajunction.port.ObjectWriting
 import org.yuccajunction.port.StoredObject
-import org.yuccajunction.quarantine.PartReport
+import org.yuccajunction.quarantine.QuarantineChange
+import org.yuccajunction.quarantine.Suspect
+import org.yuccajunction.quarantine.SuspectReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Keeps the quarantined prompt parts in the platform's store, so that they outlast the end of all entries.
+ * Keeps the quarantined suspects in the platform's store, so that they outlast the end of all entries.
  *
- * Each part is one object. Confined to the control thread.
+ * Each suspect is one object. Confined to the control thread.
  *
  * @param wallMillis returns the Unix time in milliseconds
  * @param retryDelay time until a call is repeated that the store did not answer
@@ -29,8 +32,8 @@
     private val wallMillis: () -> Long = System::currentTimeMillis,
     private val retryDelay: Duration = 1.seconds,
 ) {
-    /** Returns the parts that were quarantined before this entry started; waits until the store answers. */
-    suspend fun load(): List<PartReport> {
+    /** Returns the suspects that were quarantined before this entry started; waits until the store answers. */
+    suspend fun load(): List<SuspectReport> {
         while (true) {
             val listing = store.list(KIND)
             if (listing is ObjectListing.Listed) return listing.objects.mapNotNull(::decode)
@@ -38,16 +41,20 @@
         }
     }
 
-    /** Stores [report] in place of an earlier one of the part. */
-    suspend fun save(report: PartReport) {
-        val stored = StoredPart(report.part, wallMillis() - report.ageMillis, report.trials)
-        val value = Json.encodeToString(StoredPart.serializer(), stored)
-        writeUntilDone("write", keyOf(report.part)) { key, expected -> store.write(key, value, expected) }
+    /** Stores [change] in place of what was stored of its suspect before. */
+    suspend fun store(change: QuarantineChange) {
+        val report = change.report
+        if (report == null) remove(change.suspect) else save(report)
     }
 
-    /** Removes what is stored of [part], which servers have answered. */
-    suspend fun remove(part: Long) {
-        writeUntilDone("remove", keyOf(part)) { key, expected ->
+    private suspend fun save(report: SuspectReport) {
+        val stored = StoredSuspect(report.suspect.value, wallMillis() - report.ageMillis, report.trials)
+        val value = Json.encodeToString(StoredSuspect.serializer(), stored)
+        writeUntilDone("write", keyOf(report.suspect)) { key, expected -> store.write(key, value, expected) }
+    }
+
+    private suspend fun remove(suspect: Suspect) {
+        writeUntilDone("remove", keyOf(suspect)) { key, expected ->
             if (expected is ExpectedVersion.Absent) null else store.remove(key, expected)
         }
     }
@@ -80,11 +87,11 @@
         delay(retryDelay)
     }
 
-    private fun decode(stored: StoredObject): PartReport? {
+    private fun decode(stored: StoredObject): SuspectReport? {
         val value = stored.value ?: return null
         return try {
-            val part = Json.decodeFromString(StoredPart.serializer(), value)
-            PartReport(part.part, maxOf(0, wallMillis() - part.sinceMillis), part.trials)
+            val decoded = Json.decodeFromString(StoredSuspect.serializer(), value)
+            SuspectReport(Suspect(decoded.value), maxOf(0, wallMillis() - decoded.sinceMillis), decoded.trials)
         } catch (exception: SerializationException) {
             log.write(LogEvent.OBJECT_UNREADABLE) {
                 field("key", stored.key)
@@ -95,17 +102,22 @@
     }
 
     /**
-     * The stored form of a quarantined part.
+     * The stored form of a quarantined suspect.
      *
+     * @property value see [Suspect.value]
      * @property sinceMillis Unix time in milliseconds of the quarantine or of the last trial
      */
     @Serializable
-    private class StoredPart(val part: Long, val sinceMillis: Long, val trials: Int = 0)
+    private class StoredSuspect(
+        @SerialName("part")
+        val value: Long,
+        val sinceMillis: Long,
+        val trials: Int = 0,
+    )
 
     private companion object {
         const val KIND = "prompt-quarantines"
-        const val RADIX = 16
 
-        fun keyOf(part: Long): String = "$KIND/${part.toString(RADIX)}"
+        fun keyOf(suspect: Suspect): String = "$KIND/$suspect"
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/QuarantineTelemetry.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/QuarantineTelemetry.kt
@@ -3,11 +3,12 @@
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.quarantine.QuarantineDecision
 
-/** Writes the log events of decisions about prompt parts. */
+/** Writes the log events of decisions about suspects. */
 internal class QuarantineTelemetry(private val log: DecisionLog) {
     fun record(decision: QuarantineDecision) {
         log.write(eventOf(decision)) {
-            field("part", decision.part.toString(radix = HEXADECIMAL))
+            field("kind", if (decision.suspect.isRequest) "request" else "prompt-part")
+            field("suspect", decision.suspect)
             when (decision) {
                 is QuarantineDecision.Quarantined -> field("endedServers", decision.incarnations.joinToString(","))
                 is QuarantineDecision.Learned -> field("source", "report")
@@ -19,12 +20,8 @@
 
     private fun eventOf(decision: QuarantineDecision): LogEvent =
         when (decision) {
-            is QuarantineDecision.Quarantined, is QuarantineDecision.Learned -> LogEvent.PROMPT_QUARANTINED
-            is QuarantineDecision.Tried -> LogEvent.PROMPT_TRIED
-            is QuarantineDecision.Released -> LogEvent.PROMPT_RELEASED
+            is QuarantineDecision.Quarantined, is QuarantineDecision.Learned -> LogEvent.REQUESTS_QUARANTINED
+            is QuarantineDecision.Tried -> LogEvent.QUARANTINE_TRIED
+            is QuarantineDecision.Released -> LogEvent.QUARANTINE_RELEASED
         }
-
-    private companion object {
-        const val HEXADECIMAL = 16
-    }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAttempt.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAttempt.kt
@@ -4,6 +4,7 @@
 import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.quarantine.Execution
 
 /** One attempt to execute the request of [exchange] at the backend server [server]. */
 internal class ServerAttempt(
@@ -16,8 +17,11 @@
     val trial = AttemptTrial(exchange.dataPlane, exchange.request)
     var connection: ServerConnection? = null
 
-    /** Whether a whole event of a stream has arrived. */
-    var hasEvents = false
+    /** Time at which the first whole event of a stream arrived, null before. */
+    var firstEventAt: MonotonicTime? = null
+
+    /** The execution of a request under which servers have ended before, null for any other request. */
+    var execution: Execution? = null
     var isOver = false
         private set
 
@@ -31,6 +35,7 @@
         if (isOver) return false
         isOver = true
         connection = null
+        exchange.dataPlane.quarantine.endExecution(execution)
         if (server.isPeerEntry) exchange.dataPlane.relays.peers.recordEnd(server.id)
         return true
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -49,6 +49,7 @@
     /** Sends [request] on the new connection; ending an attempt that is already over has no effect. */
     private fun connected(attempt: ServerAttempt, request: FullHttpRequest, future: ChannelFuture) {
         recordOutcome(attempt.server, future)
+        if (outcomeOf(future) == ProbeOutcome.REFUSED) dataPlane.serverEndDetector.connectionRefused(attempt.server)
         if (!future.isSuccess || attempt.isOver) {
             request.release()
             if (future.isSuccess) returnToPool(future.channel().pipeline().get(ServerConnection::class.java))
@@ -57,17 +58,24 @@
         future.channel().pipeline().get(ServerConnection::class.java).send(attempt, request)
     }
 
-    /** Opens a connection to [server] and reports whether the server's instance refused it; keeps it if it opened. */
-    fun probe(server: BackendServer, onResult: (isRefused: Boolean) -> Unit) {
+    /** Opens a connection to [server] and reports the outcome; keeps the connection if it opened. */
+    fun probe(server: BackendServer, onResult: (ProbeOutcome) -> Unit) {
         val endpoint = server.endpoint
         val future = bootstrap.clone().handler(initializer(server)).connect(endpoint.host, endpoint.port)
         future.addListener {
             recordOutcome(server, future)
             if (future.isSuccess) returnToPool(future.channel().pipeline().get(ServerConnection::class.java))
-            onResult(future.cause().let { it is ConnectException && it !is ConnectTimeoutException })
+            onResult(outcomeOf(future))
         }
     }
 
+    private fun outcomeOf(future: ChannelFuture): ProbeOutcome =
+        when {
+            future.isSuccess -> ProbeOutcome.ACCEPTED
+            future.cause().let { it is ConnectException && it !is ConnectTimeoutException } -> ProbeOutcome.REFUSED
+            else -> ProbeOutcome.UNKNOWN
+        }
+
     private fun recordOutcome(server: BackendServer, future: ChannelFuture) {
         val relays = dataPlane.relays
         if (future.isSuccess) relays.recordConnection(server) else relays.recordConnectionFailure(server)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerEndDetector.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerEndDetector.kt
@@ -2,78 +2,135 @@
 
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.BackendServer
-import org.yuccajunction.forward.ForwardRequest
 import org.yuccajunction.model.MonotonicTime
+import org.yuccajunction.quarantine.BrokenAttempt
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
- * Finds out whether a backend server has ended when attempts there break before their first event.
+ * Finds out whether a backend server has ended when attempts there break before their whole answer.
  *
- * Such a server refuses connections, while one that has only reset a connection accepts the next. Confined to the
- * traffic thread.
+ * Such a server refuses connections, while one that has only reset a connection accepts the next. An end counts at once
+ * if the links of this entry are known to work, else when the store no longer lists the server's incarnation or a peer
+ * reports the end. Confined to the traffic thread.
  */
 internal class ServerEndDetector(private val dataPlane: DataPlane) {
-    private val brokenRequests = HashMap<String, ArrayList<ForwardRequest>>()
-
-    /** Handles the end of an attempt of [request] at [server] without an event. */
-    fun attemptBroke(server: BackendServer, request: ForwardRequest) {
-        val listed = dataPlane.fleet.servers[server.id]
-        val isExpected = listed == null || listed.isDraining || dataPlane.loadBalancer.notices.isLeaving(server)
-        if (isExpected) return
-        val known = brokenRequests[server.incarnation]
-        if (known != null) {
-            known += request
-            return
-        }
-        brokenRequests[server.incarnation] = arrayListOf(request)
-        dataPlane.loop.schedule({ probe(server) }, PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    private val checkedServers = HashMap<String, BackendServer>()
+    private val givenUpAttempts = HashMap<String, ArrayList<BrokenAttempt>>()
+
+    /** Handles the end of [attempt], whose connection broke or which got an invalid answer. */
+    fun attemptBroke(attempt: ServerAttempt) {
+        dataPlane.quarantine.recordBreak(attempt.server.incarnation, broken(attempt))
+        check(attempt.server)
+    }
+
+    /** Handles the end of [attempt], which this entry or its caller gave up while the server may be executing it. */
+    fun attemptGivenUp(attempt: ServerAttempt) {
+        givenUpAttempts.getOrPut(attempt.server.incarnation) { ArrayList() } += broken(attempt)
+        val oldest = dataPlane.now() - GIVEN_UP_VALIDITY
+        givenUpAttempts.values.removeIf { attempts -> attempts.removeIf { it.endedAt < oldest } && attempts.isEmpty() }
+    }
+
+    private fun broken(attempt: ServerAttempt): BrokenAttempt {
+        val listed = dataPlane.fleet.servers[attempt.server.id]
+        val isLeaving = dataPlane.loadBalancer.notices.isLeaving(attempt.server)
+        return BrokenAttempt(
+            attempt.exchange.request,
+            attempt.startedAt,
+            endedAt = dataPlane.now(),
+            firstEventAt = attempt.firstEventAt,
+            wasServerLeaving = listed == null || listed.isDraining || isLeaving,
+        )
+    }
+
+    /** Handles a connection that the instance of [server] refused: an attempt given up just before may be the cause. */
+    fun connectionRefused(server: BackendServer) {
+        if (server.incarnation in givenUpAttempts) check(server)
+    }
+
+    private fun check(server: BackendServer) {
+        val incarnation = server.incarnation
+        val oldest = dataPlane.now() - GIVEN_UP_VALIDITY
+        val givenUp = givenUpAttempts.remove(incarnation).orEmpty().filter { it.endedAt >= oldest }
+        givenUp.forEach { dataPlane.quarantine.recordBreak(incarnation, it) }
+        if (checkedServers.put(incarnation, server) != null) return
+        after(PROBE_DELAY_MILLIS) { probe(server) }
+        after(CHECK_TIME.inWholeMilliseconds) { endCheck(server) }
     }
 
     private fun probe(server: BackendServer) {
-        dataPlane.serverConnections.probe(server) { isRefused ->
-            val requests = brokenRequests.remove(server.incarnation).orEmpty()
-            if (isRefused) recordEndOnceSure(server, requests, dataPlane.now(), CHECKS)
+        dataPlane.serverConnections.probe(server) { outcome ->
+            when (outcome) {
+                ProbeOutcome.ACCEPTED -> endCheck(server)
+                ProbeOutcome.REFUSED -> recordEndOnceSure(server, dataPlane.now(), CHECKS)
+                ProbeOutcome.UNKNOWN -> reportUnconfirmed(server, "no connection")
+            }
         }
     }
 
     /** Records the end once another server has been in contact, since else the links of this entry may be at fault. */
-    private fun recordEndOnceSure(
-        server: BackendServer,
-        requests: List<ForwardRequest>,
-        refusedAt: MonotonicTime,
-        checksLeft: Int,
-    ) {
-        if (dataPlane.relays.hadContactSince(server.service, refusedAt)) return recordEnd(server, requests)
-        if (checksLeft == 0) return reportUnconfirmed(server, requests)
+    private fun recordEndOnceSure(server: BackendServer, refusedAt: MonotonicTime, checksLeft: Int) {
+        if (dataPlane.relays.hadContactSince(refusedAt)) return recordEnd(server.incarnation)
+        if (checksLeft == 0) return reportUnconfirmed(server, "refused")
         dataPlane.relays.verifyAny(server.service)
-        dataPlane.loop.schedule(
-            { recordEndOnceSure(server, requests, refusedAt, checksLeft - 1) },
-            CHECK_INTERVAL_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
+        dataPlane.relays.verifyAny()
+        after(CHECK_INTERVAL_MILLIS) { recordEndOnceSure(server, refusedAt, checksLeft - 1) }
     }
 
-    private fun reportUnconfirmed(server: BackendServer, requests: List<ForwardRequest>) =
-        dataPlane.log.write(LogEvent.SERVER_END_UNCONFIRMED) {
-            field("server", server.id)
-            field("requests", requests.joinToString(",") { it.id })
-        }
+    /** Records the ends of servers in doubt of which the store no longer lists the incarnation. */
+    fun fleetChanged() {
+        if (checkedServers.isEmpty()) return
+        val gone = checkedServers.filterValues { dataPlane.fleet.servers[it.id]?.isSameIncarnation(it) != true }
+        gone.keys.forEach(::recordEnd)
+    }
+
+    /** Records that a peer has reported the end of [incarnation]. */
+    fun peerReportedEnd(incarnation: String) = recordEnd(incarnation)
 
-    private fun recordEnd(server: BackendServer, requests: List<ForwardRequest>) {
+    private fun recordEnd(incarnation: String) {
+        val server = checkedServers.remove(incarnation) ?: return
         val now = dataPlane.now()
+        dataPlane.loadBalancer.notices.recordEnded(incarnation, now)
+        val attempts = dataPlane.quarantine.recordServerEnd(incarnation, now)
         dataPlane.log.write(LogEvent.SERVER_ENDED) {
             field("server", server.id)
-            field("requests", requests.joinToString(",") { it.id })
+            field("requests", attempts.joinToString(",") { it.request.id })
         }
-        dataPlane.loadBalancer.notices.recordEnded(server.incarnation, now)
-        dataPlane.quarantine.recordServerEnd(server.incarnation, requests, now)
         dataPlane.reportUrgently()
     }
 
+    private fun endCheck(server: BackendServer) {
+        if (checkedServers.remove(server.incarnation) != null) {
+            dataPlane.quarantine.recordSurvival(server.incarnation)
+        }
+    }
+
+    private fun reportUnconfirmed(server: BackendServer, outcome: String) {
+        if (server.incarnation !in checkedServers) return
+        dataPlane.log.write(LogEvent.SERVER_END_UNCONFIRMED) {
+            field("server", server.id)
+            field("probe", outcome)
+        }
+    }
+
+    private fun after(millis: Long, run: () -> Unit) {
+        dataPlane.loop.schedule(run, millis, TimeUnit.MILLISECONDS)
+    }
+
     private companion object {
         /** Time from the first broken attempt in which the others at the same server break. */
         const val PROBE_DELAY_MILLIS = 30L
         const val CHECKS = 8
         const val CHECK_INTERVAL_MILLIS = 50L
+
+        /** Time in which the store drops a server that has ended, or lists its next incarnation. */
+        val CHECK_TIME: Duration = 15.seconds
+
+        /** Time for which a server may go on executing a request after its connection was closed. */
+        val GIVEN_UP_VALIDITY: Duration = 2.seconds
     }
 }
+
+/** Result of opening a connection to a backend server to find out whether it runs. */
+internal enum class ProbeOutcome { ACCEPTED, REFUSED, UNKNOWN }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -15,7 +15,7 @@
  * @property unreachableServices services of which this entry reaches no server
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
- * @property quarantine what this entry knows of prompt parts under which servers have ended
+ * @property quarantine what this entry knows of requests and prompt parts under which servers have ended
  */
 internal class TrafficReport(
     val admitted: Map<String, Double>,
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CrashingPromptGatewayTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CrashingPromptGatewayTest.kt
@@ -40,7 +40,7 @@
             }
             val refused = fixture.send("first,$CRASHING_PART,own")
             assertContains(refused, "503")
-            assertContains(refused, "crashing-prompt")
+            assertContains(refused, "crashing-request")
             assertContains(fixture.send("first,other,own"), "200 OK")
         }
 
@@ -52,6 +52,37 @@
             assertEquals(List(6) { "HTTP/1.1 502 Bad Gateway" }, statuses)
         }
 
+    /** Guards against a call, without any prompt, that ends all servers of a service of few servers. */
+    @Test
+    fun `a call under which the three servers of a service ended is refused as not executed`() {
+        val servers = ArrayList<ScriptedServer>()
+        repeat(3) { number -> servers += ScriptedServer { _, _ -> servers[number].close() } }
+        val other = ScriptedServer { _, _ -> }
+        GatewayFixture(*servers.toTypedArray(), otherServer = other).use { fixture ->
+            repeat(3) {
+                assertContains(fixture.exchange("/once/7", body = "order"), "502")
+                Thread.sleep(PAUSE_MILLIS)
+            }
+            assertContains(fixture.exchange("/once/7", body = "order"), "crashing-request")
+            assertContains(fixture.exchange("/once/7", body = "other order"), "503")
+        }
+        other.close()
+    }
+
+    /** Guards against a stream that ends servers after some events, each time that it resumes. */
+    @Test
+    fun `a stream under which servers ended after an event is refused when it comes again`() =
+        withServers({ server, connection ->
+            connection.send(streamHead("id: r1") + chunk(event(1)))
+            Thread.sleep(20)
+            server.close()
+        }) { fixture ->
+            repeat(3) { fixture.send("first,$CRASHING_PART,own") }
+            assertContains(fixture.send("first,$CRASHING_PART,own"), "crashing-request")
+            val other = fixture.exchange("/stream/other", headers = "key: key-1\r\nparts: first,other,own\r\n")
+            assertContains(other, "200 OK")
+        }
+
     private companion object {
         const val CRASHING_PART = "crashing"
         const val SERVERS = 8
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -30,8 +30,9 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Runs the data plane of one entry on loopback, in front of the scripted [servers]. */
-class GatewayFixture(private vararg val servers: ScriptedServer) : Closeable {
+/** Runs the data plane of one entry on loopback, in front of the scripted [servers] and one of another service. */
+class GatewayFixture(private vararg val servers: ScriptedServer, private val otherServer: ScriptedServer? = null) :
+    Closeable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loopback = InetAddress.getLoopbackAddress().hostAddress
     private val service = ServiceName("service")
@@ -84,11 +85,8 @@
 
     private fun fleet(): FleetSnapshot {
         val listed =
-            servers.withIndex().associate { (index, server) ->
-                val id = BackendServerId("server-$index")
-                val endpoint = Endpoint(loopback, server.port)
-                id to BackendServer(id, service, endpoint, AvailabilityZone("zone"), slots = 8)
-            }
+            servers.withIndex().map { (index, server) -> listing("server-$index", service, server) } +
+                listOfNotNull(otherServer).map { listing("other", ServiceName("other-service"), it) }
         val configuration =
             ForwardConfiguration(
                 revision = Revision(1),
@@ -103,9 +101,24 @@
                 workspacesByKey = persistentMapOf("key-1" to WorkspacePolicy(WorkspaceId("workspace"))),
                 limits = CallerLimits(headerBytes = 2_048, bodyBytes = 10_000, headerTimeout = 400.milliseconds),
             )
-        return FleetSnapshot(configuration, listed.toPersistentMap(), entries = persistentListOf("entry"))
+        return FleetSnapshot(
+            configuration,
+            listed.associateBy {
+                it.id
+            }.toPersistentMap(),
+            entries = persistentListOf("entry"),
+        )
     }
 
+    private fun listing(id: String, service: ServiceName, server: ScriptedServer) =
+        BackendServer(
+            BackendServerId(id),
+            service,
+            Endpoint(loopback, server.port),
+            AvailabilityZone("zone"),
+            slots = 8,
+        )
+
     private fun route(prefix: String, isStream: Boolean, mayRepeat: Boolean) =
         ForwardRoute(
             name = prefix,
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/QuarantineArchiveTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/QuarantineArchiveTest.kt
@@ -9,7 +9,9 @@
 import org.yuccajunction.port.ObjectVersion
 import org.yuccajunction.port.ObjectWriting
 import org.yuccajunction.port.StoredObject
-import org.yuccajunction.quarantine.PartReport
+import org.yuccajunction.quarantine.QuarantineChange
+import org.yuccajunction.quarantine.Suspect
+import org.yuccajunction.quarantine.SuspectReport
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
@@ -63,31 +65,36 @@
     private fun archive(store: ObjectStore) =
         QuarantineArchive(store, DecisionLog("test"), { wallMillis }, retryDelay = 1.milliseconds)
 
-    /** Guards against parts that end servers again after all entries have ended at once. */
+    private fun report(ageMillis: Long, trials: Int = 0, suspect: Long = 7) =
+        SuspectReport(Suspect(suspect), ageMillis, trials)
+
+    private suspend fun QuarantineArchive.save(report: SuspectReport) = store(QuarantineChange(report.suspect, report))
+
+    /** Guards against requests that end servers again after all entries have ended at once. */
     @Test
-    fun `an entry that starts gets the parts that others quarantined before, with their age`() =
+    fun `an entry that starts gets the suspects that others quarantined before, with their age`() =
         runBlocking {
             val store = MemoryStore(unavailableCalls = 1)
-            archive(store).save(PartReport(part = 7, ageMillis = 500))
-            archive(store).save(PartReport(part = 8, ageMillis = 0, trials = 1))
+            archive(store).save(report(ageMillis = 500))
+            archive(store).save(report(ageMillis = 0, trials = 1, suspect = -8))
             wallMillis += 2_000
-            assertEquals(listOf(PartReport(7, 2_500), PartReport(8, 2_000, trials = 1)), archive(store).load())
+            assertEquals(listOf(report(2_500), report(2_000, trials = 1, suspect = -8)), archive(store).load())
         }
 
     @Test
-    fun `a later report of a part replaces the earlier one, and a released part is removed`() =
+    fun `a later report of a suspect replaces the earlier one, and a released suspect is removed`() =
         runBlocking {
             val store = MemoryStore()
-            archive(store).save(PartReport(part = 7, ageMillis = 500))
-            archive(store).save(PartReport(part = 7, ageMillis = 0, trials = 1))
-            assertEquals(listOf(PartReport(7, 0, trials = 1)), archive(store).load())
-            archive(store).remove(7)
-            archive(store).remove(7)
+            archive(store).save(report(ageMillis = 500))
+            archive(store).save(report(ageMillis = 0, trials = 1))
+            assertEquals(listOf(report(0, trials = 1)), archive(store).load())
+            archive(store).store(QuarantineChange(Suspect(7), report = null))
+            archive(store).store(QuarantineChange(Suspect(7), report = null))
             assertEquals(emptyList(), archive(store).load())
         }
 
     @Test
-    fun `an object that can't be read names no part`() =
+    fun `an object that can't be read names no suspect`() =
         runBlocking {
             val store = MemoryStore()
             store.write("prompt-quarantines/x", "{\"part\":\"many\"}", ExpectedVersion.Absent)
