--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
@@ -6,6 +6,7 @@
 import org.yuccajunction.forward.PromptPart
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Reads and writes headers with plain names for tests. */
 class TestWire : WireProtocol {
@@ -40,6 +41,7 @@
             isSigned = response.headers().contains("signature"),
             isEncoded = response.headers().contains("content-encoding"),
             load = null,
+            pause = response.headers().get("pause")?.toInt()?.seconds,
             keepAliveSeconds = null,
             closesConnection = response.headers().contains("connection", "close", true),
         )
