Keep a pause that a server asked for until its end

A listing without the server, or without the time of its start, dropped the pause; pauses were cut at 60 s; a rejection on the connection of another request was not read; and a request that waited for a new connection was sent when the connection opened.

Pauses and notices of leaving outlast such listings, and a new incarnation begins without them. A server whose listing lacks the time of its start keeps its load and limit. Every answer but a 421 is read for notices. Callers are asked back after 60 s at most.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -10,6 +10,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /**
@@ -52,7 +53,7 @@
         loads.keys.retainAll(snapshot.servers.keys)
         coldStarts.retainServers(snapshot.servers.keys)
         requestLimits.retainServers(snapshot.servers.keys)
-        notices.retainServers(snapshot.servers.values)
+        notices.retainServers(snapshot.servers.values, now)
         snapshot.configuration?.let {
             costs.retainServices(it.services.keys)
             work.keys.retainAll(it.services.keys)
@@ -60,7 +61,7 @@
         for (server in snapshot.servers.values) {
             val known = loads[server.id]
             if (known != null && known.server.isSameIncarnation(server)) {
-                known.server = server
+                known.server = server.copy(startedAtMillis = server.startedAtMillis ?: known.server.startedAtMillis)
             } else {
                 requestLimits.forget(server.id)
                 loads[server.id] = ServerLoad(server, kvCacheTokens(server), now)
@@ -88,7 +89,7 @@
     private fun chooseAmong(all: List<ServerLoad>, query: ServerQuery, now: MonotonicTime): ServerChoice {
         shortestPause(all, now)?.let { pause ->
             val spread = 1.0 + random.nextDouble(PAUSE_RETRY_SPREAD)
-            return ServerChoice.Refuse(RefusalCause.NO_CAPACITY, pause * spread)
+            return ServerChoice.Refuse(RefusalCause.NO_CAPACITY, minOf(pause * spread, LONGEST_PAUSE_RETRY))
         }
         val available = all.filter { it.server.id !in query.excluded && permits.holdReason(it, snapshot, now) == null }
         val candidates = available.filterNot { it.isSuspect(now) }.ifEmpty { available }
@@ -276,6 +277,9 @@
 
         /** Largest addition to the delay of a retry after a pause, as a fraction of the pause. */
         const val PAUSE_RETRY_SPREAD = 0.5
+
+        /** Delay after which callers may come back whatever the pauses, since other servers may have started. */
+        val LONGEST_PAUSE_RETRY: Duration = 60.seconds
         const val LEAST_RETRY_MILLIS = 200
         const val LONGEST_RETRY_MILLIS = 3_000
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -114,7 +114,7 @@
         head.load?.let { dataPlane.loadBalancer.recordLoadReport(server.id, it, dataPlane.now()) }
         head.keepAliveSeconds?.let { serverKeepAlive = it.seconds }
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
-        if (!isForAnotherRequest && !head.isMisplaced && !server.isPeerEntry) recordWishes(head)
+        if (!head.isMisplaced && !server.isPeerEntry) recordNotices(head)
         if (isForAnotherRequest || head.closesConnection) isStateUncertain = true
         val isSkipped = isForAnotherRequest || head.status < OK
         answer = if (isSkipped) null else AnswerReader(current, response, head)
@@ -123,8 +123,8 @@
         if (skippedAnswers > MAX_SKIPPED_ANSWERS) failAttempt(AttemptEnd.INVALID)
     }
 
-    /** Records what the server tells of the requests that it wants. */
-    private fun recordWishes(head: AnswerHead) {
+    /** Records what the server says of the requests that it takes, in an answer to whichever request. */
+    private fun recordNotices(head: AnswerHead) {
         recordLimit(head)
         head.rejectionsPerSecond?.let(::recordBrittleness)
         head.pause?.let(::recordPause)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -50,7 +50,7 @@
     private fun connected(attempt: ServerAttempt, request: FullHttpRequest, future: ChannelFuture) {
         recordOutcome(attempt.server, future)
         if (outcomeOf(future) == ProbeOutcome.REFUSED) dataPlane.serverEndDetector.connectionRefused(attempt.server)
-        if (!future.isSuccess || attempt.isOver) {
+        if (!future.isSuccess || attempt.isOver || isHeldBack(attempt.server)) {
             request.release()
             if (future.isSuccess) returnToPool(future.channel().pipeline().get(ServerConnection::class.java))
             return attempt.end(AttemptEnd.UNREACHABLE)
@@ -58,6 +58,12 @@
         future.channel().pipeline().get(ServerConnection::class.java).send(attempt, request)
     }
 
+    /** Returns whether [server] has asked for no requests since one was to be sent there on a new connection. */
+    private fun isHeldBack(server: BackendServer): Boolean {
+        val notices = dataPlane.loadBalancer.notices
+        return notices.isLeaving(server) || notices.pauseLeft(server, dataPlane.now()) != null
+    }
+
     /** Opens a connection to [server] and reports the outcome; keeps the connection if it opened. */
     fun probe(server: BackendServer, onResult: (ProbeOutcome) -> Unit) {
         val endpoint = server.endpoint
