Let a server keep its incarnation when a registration lacks the time of its start

The list of servers now keeps the known time instead (ServerListTest), and incarnations are compared as before.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/BackendServer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/BackendServer.kt
@@ -40,10 +40,7 @@
     /** Identifies this incarnation of the server among all that had its identity. */
     public val incarnation: String get() = "$id/${startedAtMillis ?: 0}"
 
-    /** Returns whether [other] is the same incarnation of the same server, as far as the times of start are known. */
+    /** Returns whether [other] is the same incarnation of the same server. */
     public fun isSameIncarnation(other: BackendServer): Boolean =
-        id == other.id && endpoint == other.endpoint && hasSameStart(other)
-
-    private fun hasSameStart(other: BackendServer): Boolean =
-        startedAtMillis == null || other.startedAtMillis == null || startedAtMillis == other.startedAtMillis
+        id == other.id && endpoint == other.endpoint && startedAtMillis == other.startedAtMillis
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -61,7 +61,7 @@
         for (server in snapshot.servers.values) {
             val known = loads[server.id]
             if (known != null && known.server.isSameIncarnation(server)) {
-                known.server = server.copy(startedAtMillis = server.startedAtMillis ?: known.server.startedAtMillis)
+                known.server = server
             } else {
                 requestLimits.forget(server.id)
                 loads[server.id] = ServerLoad(server, kvCacheTokens(server), now)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerList.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerList.kt
@@ -44,10 +44,16 @@
         servers.forEach(::put)
     }
 
-    /** Adds a server that was registered, or replaces its former registration. */
+    /**
+     * Adds a server that was registered, or replaces its former registration.
+     *
+     * A registration that lacks the time of the start is of the incarnation that was known before.
+     */
     public fun put(server: BackendServer) {
         keptUntil.remove(server.id)
-        listed = listed.put(server.id, server)
+        val known = listed[server.id]?.takeIf { it.endpoint == server.endpoint }
+        val startedAtMillis = server.startedAtMillis ?: known?.startedAtMillis
+        listed = listed.put(server.id, server.copy(startedAtMillis = startedAtMillis))
     }
 
     /** Records that the registration of a server was removed. */
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/ServerListTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/ServerListTest.kt
@@ -49,6 +49,16 @@
         assertEquals(listOf("a"), ids())
     }
 
+    /** Guards against a running server that is taken for a new one, so that its limit and its load are forgotten. */
+    @Test
+    fun `a registration without the time of the start leaves the incarnation as it was`() {
+        list.replace(listOf(server("a").copy(startedAtMillis = 5)), now)
+        list.put(server("a"))
+        assertEquals(5, list.servers.getValue(BackendServerId("a")).startedAtMillis)
+        list.put(server("a").copy(startedAtMillis = 6))
+        assertEquals(6, list.servers.getValue(BackendServerId("a")).startedAtMillis)
+    }
+
     @Test
     fun `a draining server whose registration expired is unlisted`() {
         list.replace(listOf(server("a").copy(isDraining = true)), now)
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/PausedServerGatewayTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/PausedServerGatewayTest.kt
@@ -11,7 +11,7 @@
     private fun answer(request: String) =
         "HTTP/1.1 200 OK\r\nid: ${requestId(request)}\r\nsignature: s\r\ncontent-length: 2\r\n\r\nok"
 
-    /** Guards against a pause that is not kept because its rejection arrives late, on the connection of another request. */
+    /** Guards against a pause that is lost since its rejection arrives on the connection of another request. */
     @Test
     fun `a pause in a late answer to another request is kept`() {
         val late = "HTTP/1.1 503 Unavailable\r\nid: earlier\r\nnot-run: 1\r\npause: 30\r\ncontent-length: 0\r\n\r\n"
