Know a request again though its body is gone when the end of its server is found

Found by reading the fix: the fingerprint was computed when the end was recorded, 30 ms or more after the break, when the exchange may have released the body; so an attempt with an invalid answer, or one that was given up, would have failed the traffic thread's task. It is computed at the break now. The time of an end is that of the last break there, checks that are over no longer end later ones, and links count as working only by a new connection, since established ones may live on while an entry is cut off. Peers' evidence is handed over at once only while it is fresh.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/BrokenAttempt.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/BrokenAttempt.kt
@@ -20,6 +20,9 @@
     public val firstEventAt: MonotonicTime? = null,
     public val wasServerLeaving: Boolean = false,
 ) {
+    /** The request as a whole; computed at once, since the body is kept no longer than the request is open. */
+    internal val suspectRequest: Suspect = Suspect.requestOf(request)
+
     /** Whether the server may have ended because it began to execute the request. */
     internal val mayHaveEndedServer: Boolean
         get() = firstEventAt == null || endedAt - firstEventAt < LONGEST_CRASHING_TIME
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/CrashQuarantine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/CrashQuarantine.kt
@@ -50,10 +50,10 @@
     /** Records that the server [incarnation] has ended; returns the attempts that broke there. */
     public fun recordServerEnd(incarnation: String, now: MonotonicTime): List<BrokenAttempt> {
         val attempts = brokenAttempts.remove(incarnation).orEmpty()
-        val endedAt = attempts.minOfOrNull { it.endedAt } ?: now
+        val endedAt = attempts.maxOfOrNull { it.endedAt } ?: now
         val startTimes = HashMap<Suspect, MonotonicTime>()
         for (attempt in attempts) {
-            val requests = if (attempt.mayHaveEndedServer) listOf(Suspect.requestOf(attempt.request)) else emptyList()
+            val requests = if (attempt.mayHaveEndedServer) listOf(attempt.suspectRequest) else emptyList()
             (requests + attempt.suspectParts).forEach { startTimes.merge(it, attempt.startedAt, ::minOf) }
         }
         ends.record(incarnation, startTimes, endedAt)
@@ -150,7 +150,7 @@
     private fun mustWait(request: ForwardRequest, now: MonotonicTime): Boolean {
         if (ends.isEmpty && brokenAttempts.isEmpty()) return false
         val suspect = Suspect.requestOf(request)
-        val breaks = brokenAttempts.values.flatten().filter { Suspect.requestOf(it.request) == suspect }
+        val breaks = brokenAttempts.values.flatten().filter { it.suspectRequest == suspect }
         val suspicion = ends.suspicion(suspect)
         if (suspicion.separateEnds + breaks.size < GRAVE_ENDS) return false
         val lastAt = (suspicion.ends.map { it.endedAt } + breaks.map { it.endedAt }).max()
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/QuarantineReport.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/QuarantineReport.kt
@@ -18,4 +18,8 @@
     public val progress: List<SuspectReport> = emptyList(),
     public val quarantined: List<SuspectReport> = emptyList(),
     public val executing: List<Suspect> = emptyList(),
-)
+) {
+    /** Whether the report holds evidence that decides on requests which are open now. */
+    public val hasFreshEvidence: Boolean
+        get() = ends.isNotEmpty() || progress.isNotEmpty() || executing.isNotEmpty()
+}
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EntryRelays.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EntryRelays.kt
@@ -21,6 +21,7 @@
 internal class EntryRelays(private val dataPlane: DataPlane) {
     private val reachability = ServiceReachability(::reachabilityChanged)
     private val contactAt = HashMap<ServiceName, MonotonicTime>()
+    private var connectedAt: MonotonicTime? = null
     private val verified = HashSet<BackendServerId>()
     val peers = PeerRelays(dataPlane.settings.availabilityZone, dataPlane.random)
 
@@ -35,6 +36,7 @@
     /** Records that a new connection to [server] opened. */
     fun recordConnection(server: BackendServer) {
         if (server.isPeerEntry) return
+        connectedAt = dataPlane.now()
         recordContact(server)
         reachability.recordConnection(server.service)
     }
@@ -61,8 +63,8 @@
             it > time
     }
 
-    /** Returns whether any server has been in contact since [time]. */
-    fun hadContactSince(time: MonotonicTime): Boolean = contactAt.values.any { it > time }
+    /** Returns whether a new connection to any server has opened since [time]. */
+    fun hadConnectionSince(time: MonotonicTime): Boolean = connectedAt.let { it != null && it > time }
 
     /** Tries to connect to [server], at which an attempt was silent, unless others of its service are in contact. */
     fun verifyAfterSilence(server: BackendServer) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -33,7 +33,6 @@
 import org.yuccajunction.port.ObjectStore
 import org.yuccajunction.port.ObjectWriting
 import org.yuccajunction.port.StoredObject
-import org.yuccajunction.quarantine.QuarantineReport
 import org.yuccajunction.quota.UsageTotals
 import org.yuccajunction.rollout.MoveReport
 import java.net.InetSocketAddress
@@ -263,7 +262,7 @@
         if (!table.recordHeartbeat(message.heartbeat, now)) return
         usageTotals.replaceCounts("${message.heartbeat.name}/${message.heartbeat.incarnation}", message.usage)
         newHeartbeats += message.heartbeat
-        if (message.heartbeat.quarantine != QuarantineReport()) handOverHeartbeats()
+        if (message.heartbeat.quarantine.hasFreshEvidence) handOverHeartbeats()
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerEndDetector.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerEndDetector.kt
@@ -12,11 +12,11 @@
  * Finds out whether a backend server has ended when attempts there break before their whole answer.
  *
  * Such a server refuses connections, while one that has only reset a connection accepts the next. An end counts at once
- * if the links of this entry are known to work, else when the store no longer lists the server's incarnation or a peer
- * reports the end. Confined to the traffic thread.
+ * if a new connection to another server shows that the links of this entry work, else when the store no longer lists
+ * the server's incarnation or a peer reports the end. Confined to the traffic thread.
  */
 internal class ServerEndDetector(private val dataPlane: DataPlane) {
-    private val checkedServers = HashMap<String, BackendServer>()
+    private val checks = HashMap<String, Check>()
     private val givenUpAttempts = HashMap<String, ArrayList<BrokenAttempt>>()
 
     /** Handles the end of [attempt], whose connection broke or which got an invalid answer. */
@@ -54,34 +54,36 @@
         val oldest = dataPlane.now() - GIVEN_UP_VALIDITY
         val givenUp = givenUpAttempts.remove(incarnation).orEmpty().filter { it.endedAt >= oldest }
         givenUp.forEach { dataPlane.quarantine.recordBreak(incarnation, it) }
-        if (checkedServers.put(incarnation, server) != null) return
-        after(PROBE_DELAY_MILLIS) { probe(server) }
-        after(CHECK_TIME.inWholeMilliseconds) { endCheck(server) }
+        if (incarnation in checks) return
+        val started = Check(server)
+        checks[incarnation] = started
+        after(PROBE_DELAY_MILLIS) { probe(started) }
+        after(CHECK_TIME.inWholeMilliseconds) { endCheck(started) }
     }
 
-    private fun probe(server: BackendServer) {
-        dataPlane.serverConnections.probe(server) { outcome ->
+    private fun probe(check: Check) {
+        dataPlane.serverConnections.probe(check.server) { outcome ->
             when (outcome) {
-                ProbeOutcome.ACCEPTED -> endCheck(server)
-                ProbeOutcome.REFUSED -> recordEndOnceSure(server, dataPlane.now(), CHECKS)
-                ProbeOutcome.UNKNOWN -> reportUnconfirmed(server, "no connection")
+                ProbeOutcome.ACCEPTED -> endCheck(check)
+                ProbeOutcome.REFUSED -> recordEndOnceSure(check, dataPlane.now(), CONNECTION_TRIES)
+                ProbeOutcome.UNKNOWN -> reportUnconfirmed(check, "no answer")
             }
         }
     }
 
-    /** Records the end once another server has been in contact, since else the links of this entry may be at fault. */
-    private fun recordEndOnceSure(server: BackendServer, refusedAt: MonotonicTime, checksLeft: Int) {
-        if (dataPlane.relays.hadContactSince(refusedAt)) return recordEnd(server.incarnation)
-        if (checksLeft == 0) return reportUnconfirmed(server, "refused")
-        dataPlane.relays.verifyAny(server.service)
+    /** Records the end once another connection has opened, since else the links of this entry may be at fault. */
+    private fun recordEndOnceSure(check: Check, refusedAt: MonotonicTime, triesLeft: Int) {
+        if (dataPlane.relays.hadConnectionSince(refusedAt)) return recordEnd(check.server.incarnation)
+        if (triesLeft == 0) return reportUnconfirmed(check, "refused")
+        dataPlane.relays.verifyAny(check.server.service)
         dataPlane.relays.verifyAny()
-        after(CHECK_INTERVAL_MILLIS) { recordEndOnceSure(server, refusedAt, checksLeft - 1) }
+        after(TRY_INTERVAL_MILLIS) { recordEndOnceSure(check, refusedAt, triesLeft - 1) }
     }
 
     /** Records the ends of servers in doubt of which the store no longer lists the incarnation. */
     fun fleetChanged() {
-        if (checkedServers.isEmpty()) return
-        val gone = checkedServers.filterValues { dataPlane.fleet.servers[it.id]?.isSameIncarnation(it) != true }
+        if (checks.isEmpty()) return
+        val gone = checks.filterValues { dataPlane.fleet.servers[it.server.id]?.isSameIncarnation(it.server) != true }
         gone.keys.forEach(::recordEnd)
     }
 
@@ -89,31 +91,35 @@
     fun peerReportedEnd(incarnation: String) = recordEnd(incarnation)
 
     private fun recordEnd(incarnation: String) {
-        val server = checkedServers.remove(incarnation) ?: return
+        val check = checks.remove(incarnation) ?: return
         val now = dataPlane.now()
         dataPlane.loadBalancer.notices.recordEnded(incarnation, now)
         val attempts = dataPlane.quarantine.recordServerEnd(incarnation, now)
         dataPlane.log.write(LogEvent.SERVER_ENDED) {
-            field("server", server.id)
+            field("server", check.server.id)
             field("requests", attempts.joinToString(",") { it.request.id })
         }
-        dataPlane.reportUrgently()
     }
 
-    private fun endCheck(server: BackendServer) {
-        if (checkedServers.remove(server.incarnation) != null) {
-            dataPlane.quarantine.recordSurvival(server.incarnation)
-        }
+    private fun endCheck(check: Check) {
+        if (!isOpen(check)) return
+        checks.remove(check.server.incarnation)
+        dataPlane.quarantine.recordSurvival(check.server.incarnation)
     }
 
-    private fun reportUnconfirmed(server: BackendServer, outcome: String) {
-        if (server.incarnation !in checkedServers) return
+    private fun reportUnconfirmed(check: Check, outcome: String) {
+        if (!isOpen(check)) return
         dataPlane.log.write(LogEvent.SERVER_END_UNCONFIRMED) {
-            field("server", server.id)
+            field("server", check.server.id)
             field("probe", outcome)
         }
     }
 
+    private fun isOpen(check: Check) = checks[check.server.incarnation] === check
+
+    /** A check whether [server] has ended. */
+    private class Check(val server: BackendServer)
+
     private fun after(millis: Long, run: () -> Unit) {
         dataPlane.loop.schedule(run, millis, TimeUnit.MILLISECONDS)
     }
@@ -121,8 +127,8 @@
     private companion object {
         /** Time from the first broken attempt in which the others at the same server break. */
         const val PROBE_DELAY_MILLIS = 30L
-        const val CHECKS = 8
-        const val CHECK_INTERVAL_MILLIS = 50L
+        const val CONNECTION_TRIES = 8
+        const val TRY_INTERVAL_MILLIS = 50L
 
         /** Time in which the store drops a server that has ended, or lists its next incarnation. */
         val CHECK_TIME: Duration = 15.seconds
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CrashingPromptGatewayTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CrashingPromptGatewayTest.kt
@@ -69,6 +69,26 @@
         other.close()
     }
 
+    /** Guards against a request that is forgotten when it ends, though its server's end is found a little later. */
+    @Test
+    fun `a call under which servers sent an invalid answer and ended is refused when it comes again`() {
+        val servers = ArrayList<ScriptedServer>()
+        repeat(5) { number ->
+            servers += ScriptedServer { _, connection ->
+                connection.send("no answer\r\n\r\n")
+                servers[number].close()
+            }
+        }
+        GatewayFixture(*servers.toTypedArray()).use { fixture ->
+            repeat(3) {
+                assertContains(fixture.exchange("/once/7", body = "order"), "502")
+                Thread.sleep(PAUSE_MILLIS)
+            }
+            assertContains(fixture.exchange("/once/7", body = "order"), "crashing-request")
+        }
+        servers.forEach { it.close() }
+    }
+
     /** Guards against a stream that ends servers after some events, each time that it resumes. */
     @Test
     fun `a stream under which servers ended after an event is refused when it comes again`() =
