--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationAnswer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationAnswer.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Tells how recently the store confirmed the configuration of the answering entry; answers a [ConfirmationQuestion].
+ * Reports how recently the store confirmed the configuration of the answering entry; answers a [ConfirmationQuestion].
  *
  * @property questionSentAtNanos [ConfirmationQuestion.sentAtNanos] of the question, unchanged
  * @property confirmationAgeMillis milliseconds since the start of the last call in which the store confirmed
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
@@ -72,7 +72,7 @@
         }
     }
 
-    /** Returns the heartbeat counters of the live peers heard of last, to be relayed. */
+    /** Returns the heartbeat counters of the live peers that reported last, to be relayed. */
     public fun heartbeatCounters(now: MonotonicTime): List<HeartbeatCounter> =
         peersByIncarnation.entries
             .filter { it.value.isAlive(now, livenessTimeout()) }
@@ -158,7 +158,7 @@
     /** Returns the address for datagrams to the peer [name], null if the peer is not known. */
     public fun peerAddress(name: String): String? = peers[name]?.address
 
-    /** Returns the number of entries that may be alive, because they are registered or were heard of, and this one. */
+    /** Returns the number of entries that may be alive, because they are registered or have reported, and this one. */
     public fun knownEntries(): Int = peers.size + 1
 
     /** Returns the time between two heartbeats of this entry. */
@@ -169,7 +169,7 @@
             else -> LARGE_FLEET_HEARTBEAT_INTERVAL
         }
 
-    /** Returns whether this entry tells its peers often what it admits, since all entries may have started with it. */
+    /** Returns whether this entry often reports what it admits, since all entries may have started with it. */
     private fun isStarting(now: MonotonicTime): Boolean = startedAt?.let { now - it < STARTUP_TIME } == true
 
     private fun livenessTimeout(): Duration =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PrefixAffinity.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PrefixAffinity.kt
@@ -7,7 +7,7 @@
 import java.util.PriorityQueue
 
 /**
- * Tells how much of the prompt of [request] each of the [candidates] is estimated to hold in its cache.
+ * Estimates how much of the prompt of [request] each of the [candidates] holds in its cache.
  *
  * All entries prefer the same few servers for a shared prefix, by rendezvous hashing over the candidates.
  */
@@ -25,7 +25,7 @@
     fun rereadTokens(load: ServerLoad): Int = maxOf(0, sharedTokens - cachedTokens(load))
 
     /**
-     * Returns the prompt tokens that the server is estimated to hold in its cache.
+     * Returns the prompt tokens that the server holds in its cache.
      *
      * The estimate is the larger one of two: the prompts that this entry has sent there, and a fraction of the shared
      * prefix if all entries prefer that server for the prefix.
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/RequestLimits.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/RequestLimits.kt
@@ -16,8 +16,8 @@
  */
 public class RequestLimits(private val entry: String) {
     private val rate = SharedServerRate(entry)
-    private val told = HashMap<BackendServerId, ToldLimit>()
-    private val toldByPeers = HashMap<String, Map<BackendServerId, Double>>()
+    private val ownLimits = HashMap<BackendServerId, OwnLimit>()
+    private val reportedByPeers = HashMap<String, Map<BackendServerId, Double>>()
 
     /**
      * Records that an answer of [server] named the limit [requestsPerSecond], null for none.
@@ -25,33 +25,33 @@
      * Returns whether the limit differs from that of the last answer.
      */
     public fun record(server: BackendServerId, requestsPerSecond: Double?, now: MonotonicTime): Boolean {
-        val last = told[server]
+        val last = ownLimits[server]
         if (requestsPerSecond == null && last?.requestsPerSecond == null) return false
-        told[server] =
-            ToldLimit(requestsPerSecond, now, if (requestsPerSecond == null) LIFT_VALIDITY else validity(server))
+        ownLimits[server] =
+            OwnLimit(requestsPerSecond, now, if (requestsPerSecond == null) LIFT_VALIDITY else validity(server))
         return last?.requestsPerSecond != requestsPerSecond
     }
 
-    /** Replaces what the peer [entry] tells of limits: those in force, and the servers that have lifted theirs. */
+    /** Replaces what the peer [entry] reports of limits: those in force, and the servers that have lifted theirs. */
     public fun recordPeer(entry: String, limits: Map<BackendServerId, Double>, lifted: Set<BackendServerId>) {
-        if (limits.isEmpty()) toldByPeers.remove(entry) else toldByPeers[entry] = limits
-        lifted.filter { told[it]?.requestsPerSecond != null }.forEach(told::remove)
+        if (limits.isEmpty()) reportedByPeers.remove(entry) else reportedByPeers[entry] = limits
+        lifted.filter { ownLimits[it]?.requestsPerSecond != null }.forEach(ownLimits::remove)
     }
 
-    /** Forgets what entries other than [live] told. */
+    /** Forgets what entries other than [live] reported. */
     public fun retainPeers(live: Set<String>) {
-        toldByPeers.keys.retainAll(live)
+        reportedByPeers.keys.retainAll(live)
     }
 
     /** Forgets all servers but those in [known]. */
     public fun retainServers(known: Set<BackendServerId>) {
-        told.keys.retainAll(known)
+        ownLimits.keys.retainAll(known)
         rate.retainServers(known)
     }
 
     /** Forgets the limit of [server], which has restarted. */
     public fun forget(server: BackendServerId) {
-        told.remove(server)
+        ownLimits.remove(server)
     }
 
     /** Returns whether [server] may get a request at [now]; [entries] are the names of the live entries. */
@@ -65,45 +65,45 @@
 
     /** Returns the limits that servers have named to this entry itself, for its peers. */
     public fun named(now: MonotonicTime): Map<BackendServerId, Double> =
-        told.filterValues { it.isValid(now) }
+        ownLimits.filterValues { it.isValid(now) }
             .mapNotNull { (server, limit) -> limit.requestsPerSecond?.let { server to it } }
             .toMap()
 
     /** Returns the servers that named a limit to this entry and then no longer did, for its peers. */
     public fun lifted(now: MonotonicTime): Set<BackendServerId> =
-        told.filterValues { it.requestsPerSecond == null && it.isValid(now) }.keys.toSet()
+        ownLimits.filterValues { it.requestsPerSecond == null && it.isValid(now) }.keys.toSet()
 
-    /** The newest own answer counts; without one, the lowest limit that a peer was told. */
+    /** The newest own answer counts; without one, the lowest limit that a peer reports. */
     private fun limitOf(server: BackendServerId, now: MonotonicTime): Double? {
-        val own = told[server]
+        val own = ownLimits[server]
         if (own != null && own.isValid(now)) return own.requestsPerSecond
-        return toldByPeers.values.mapNotNull { it[server] }.minOrNull()
+        return reportedByPeers.values.mapNotNull { it[server] }.minOrNull()
     }
 
-    /** Returns how long this entry keeps a limit of [server] without news; other entries keep it for other times. */
+    /** Returns how long this entry keeps a limit of [server] without an answer; others keep it for other times. */
     private fun validity(server: BackendServerId): Duration {
         val hash = RendezvousHash.score(RendezvousHash.hash(entry), RendezvousHash.hash(server.value))
         return LIMIT_VALIDITY * (1.0 + Random(hash).nextDouble(VALIDITY_SPREAD))
     }
 
-    private class ToldLimit(val requestsPerSecond: Double?, val at: MonotonicTime, private val validity: Duration) {
+    private class OwnLimit(val requestsPerSecond: Double?, val at: MonotonicTime, private val validity: Duration) {
         fun isValid(now: MonotonicTime): Boolean = now - at < validity
     }
 
     private companion object {
-        /** Requests per second that a server gets even if its limit is lower, so that its end is heard of. */
+        /** Requests per second that a server gets even if its limit is lower, so that its end shows. */
         const val MIN_RATE = 0.2
 
         /** Entries that share the lowest limits; each may send one request at once. */
         const val MIN_SENDING_ENTRIES = 3
 
-        /** Time for which an entry keeps a limit without news of the server, if no other entry tells that it ended. */
+        /** Time for which an entry keeps a limit without an answer, if no other entry reports that it ended. */
         val LIMIT_VALIDITY = 60.seconds
 
         /** Largest addition to the validity, as a fraction, so that entries do not all send again at once. */
         const val VALIDITY_SPREAD = 2.0
 
-        /** Time for which an entry tells its peers that a limit has ended. */
+        /** Time for which an entry reports to its peers that a limit has ended. */
         val LIFT_VALIDITY = 10.seconds
 
         /** Returns how many entries share [limit]: more for a higher one, so that their part is not too small. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ObjectWriting.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ObjectWriting.kt
@@ -10,6 +10,6 @@
     /** The write was not sent or the object API rejected it; it has no effect. */
     public data class Refused(public val detail: String) : ObjectWriting
 
-    /** No answer arrived; the write may have taken effect, and only reading the object tells. */
+    /** No answer arrived; the write may have taken effect, and only reading the object shows. */
     public data class Unknown(public val detail: String) : ObjectWriting
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/WorkspaceQuotas.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/WorkspaceQuotas.kt
@@ -91,7 +91,7 @@
         /** Greatest difference between the clocks of two machines that is tolerated. */
         const val CLOCK_TOLERANCE_MILLIS = 2_000L
 
-        /** Time from a start until an entry has heard of the usage of all peers, where all exchange heartbeats. */
+        /** Time from a start until an entry has received the usage of all peers, where all exchange heartbeats. */
         val SMALL_FLEET_STARTUP_TIME = 1.seconds
 
         /** Number of entries that an entry assumes before it has read the registrations of its peers. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MovePhase.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MovePhase.kt
@@ -12,8 +12,8 @@
     TAKEN_BACK,
     ;
 
-    /** The phase that the status of an order tells the operator, null where it tells none yet. */
-    public val toldPhase: MovePhase?
+    /** The phase that the status of an order reports to the operator, null where it reports none yet. */
+    public val reportedPhase: MovePhase?
         get() =
             when (this) {
                 WAITING -> null
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveReport.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveReport.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What an entry tells its peers of one ordered move.
+ * What an entry reports to its peers of one ordered move.
  *
  * The binary form goes by position: the order and the types of the properties must not change.
  *
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/OrderedMove.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/OrderedMove.kt
@@ -57,8 +57,8 @@
         if (knownEntries == 0) knownEntries = view.entries
         if (isOpen) adoptFinalStatus(reports)
         if (isOpen) decide(view, reports, now)
-        val told = status.phase.toldPhase
-        val isDue = told != null && told != order.writtenPhase
+        val reported = status.phase.reportedPhase
+        val isDue = reported != null && reported != order.writtenPhase
         statusDueSince = if (isDue) statusDueSince ?: now else null
     }
 
@@ -138,7 +138,7 @@
     }
 
     private companion object {
-        /** Told in the status only; [VersionTrial] limits the requests by counts. */
+        /** Reported in the status only; [VersionTrial] limits the requests by counts. */
         const val FIRST_SHARE = 0.05
     }
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/RolloutOrder.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/RolloutOrder.kt
@@ -12,7 +12,7 @@
  * @property incarnation distinguishes the order from an earlier one under the same key
  * @property timeLimit time from the order until the move must be completed or rolled back
  * @property objectVersion version of the stored object, which a conditional write of the status expects
- * @property writtenPhase phase that the stored status tells for [target], null where it tells none
+ * @property writtenPhase phase that the stored status reports for [target], null where it reports none
  */
 public data class RolloutOrder(
     public val key: String,
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceRollouts.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceRollouts.kt
@@ -85,7 +85,7 @@
     }
 
     /**
-     * Returns what this entry tells its peers of the moves whose end the store does not tell.
+     * Returns what this entry reports to its peers of the moves whose end the store does not show.
      *
      * [ownOpenAtOldVersion] counts its attempts at other versions than the new one.
      */
@@ -100,7 +100,9 @@
     /** Returns the orders whose stored status is out of date, each with its newest phase and since when it is due. */
     public fun dueStatuses(): List<DueStatus> =
         moves.values.mapNotNull { move ->
-            move.statusDueSince?.let { since -> move.status.phase.toldPhase?.let { DueStatus(move.order, it, since) } }
+            move.statusDueSince?.let { since ->
+                move.status.phase.reportedPhase?.let { DueStatus(move.order, it, since) }
+            }
         }
 
     /** Records that the status of [order] was written with [phase], by which the object got [version]. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
@@ -238,7 +238,7 @@
         dataPlane.loop.execute { dataPlane.update(fleet) }
     }
 
-    /** Tells the server list about store outages, in which registrations of servers that are alive expire. */
+    /** Informs the server list of store outages, in which registrations of servers that are alive expire. */
     private suspend fun watchHealth() {
         while (true) {
             health.awaitUnavailable()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -74,7 +74,7 @@
     /** Returns the fencing number of the duties' lease while this entry holds the lease, 0 otherwise. */
     var dutyFencingNumber: () -> Long = { 0 }
 
-    /** Returns what this entry tells its peers of ordered moves of services. */
+    /** Returns what this entry reports to its peers of ordered moves of services. */
     var moveReports: () -> List<MoveReport> = { emptyList() }
 
     fun start(group: EventLoopGroup, scope: CoroutineScope) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Rollouts.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Rollouts.kt
@@ -75,7 +75,7 @@
         controlPlane.updateVersions(moves.policy(controlPlane.fleet.servers.values, controlPlane.now()))
     }
 
-    /** Returns what this entry tells its peers of the ordered moves. */
+    /** Returns what this entry reports to its peers of the ordered moves. */
     fun reports(): List<MoveReport> =
         moves.reports(controlPlane.now()) { service, target -> openByTarget[service to target] ?: OpenAttempts() }
 
