--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/CrashQuarantine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/CrashQuarantine.kt
@@ -67,7 +67,7 @@
     public fun beginExecution(request: ForwardRequest, server: BackendServerId, now: MonotonicTime): Execution? {
         if (!isSuspect(request)) return null
         val suspect = Suspect.requestOf(request)
-        if (isGrave(suspect)) onUrgentReport()
+        if (isNearlyBlamed(suspect)) onUrgentReport()
         return executions.begin(suspect, server, now)
     }
 
@@ -91,7 +91,7 @@
 
     private fun recordProgress(suspect: Suspect, now: MonotonicTime) {
         if (suspect !in terms && !ends.isSuspect(suspect)) return
-        if (isGrave(suspect)) onUrgentReport()
+        if (isNearlyBlamed(suspect)) onUrgentReport()
         ends.recordProgress(suspect, now)
         progress[suspect] = now
         isUnexamined = true
@@ -152,7 +152,7 @@
         val suspect = Suspect.requestOf(request)
         val breaks = brokenAttempts.values.flatten().filter { it.suspectRequest == suspect }
         val suspicion = ends.suspicion(suspect)
-        if (suspicion.separateEnds + breaks.size < GRAVE_ENDS) return false
+        if (suspicion.separateEnds + breaks.size < NEARLY_BLAMED_ENDS) return false
         val lastAt = (suspicion.ends.map { it.endedAt } + breaks.map { it.endedAt }).max()
         return now - lastAt < SETTLING_TIME || executions.isExecuting(suspect, lastAt, now)
     }
@@ -162,7 +162,7 @@
         !ends.isEmpty && ends.isSuspect(Suspect.requestOf(request))
 
     /** Returns whether one more end would be enough to blame [suspect]. */
-    private fun isGrave(suspect: Suspect): Boolean = ends.suspicion(suspect).separateEnds >= GRAVE_ENDS
+    private fun isNearlyBlamed(suspect: Suspect): Boolean = ends.suspicion(suspect).separateEnds >= NEARLY_BLAMED_ENDS
 
     /** Returns whether [request] or a part of its prompt is quarantined. */
     public fun isQuarantined(request: ForwardRequest): Boolean =
@@ -178,7 +178,7 @@
                 SuspectReport(suspect, (now - at).inWholeMilliseconds)
             },
             quarantined = terms.newest(MAX_REPORTED_TERMS).map { it.report(now) },
-            executing = executions.suspects().filter(::isGrave),
+            executing = executions.suspects().filter(::isNearlyBlamed),
         )
     }
 
@@ -251,7 +251,7 @@
 
     private companion object {
         /** Ends of a request from which on it is sent with care: one more would be enough to blame it. */
-        const val GRAVE_ENDS = 2
+        const val NEARLY_BLAMED_ENDS = 2
 
         /** Time from the end of a server until all entries that had requests there have reported it. */
         val SETTLING_TIME: Duration = 400.milliseconds
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/ServerEnds.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quarantine/ServerEnds.kt
@@ -15,7 +15,10 @@
 internal class ServerEnds {
     private val ends = LinkedHashMap<String, ServerEnd>()
     private val endsBySuspect = HashMap<Suspect, LinkedHashSet<ServerEnd>>()
-    private val answeredAt = LinkedHashMap<Suspect, MonotonicTime>()
+    private val answeredAt = HashMap<Suspect, MonotonicTime>()
+
+    /** Answers to what no end is known of, the oldest first: such a request may be open at the next end. */
+    private val recentAnswers = LinkedHashMap<Suspect, MonotonicTime>()
 
     val isEmpty: Boolean get() = ends.isEmpty()
 
@@ -26,6 +29,7 @@
         startTimes.forEach { (suspect, startedAt) ->
             known.startTimes.merge(suspect, startedAt, ::minOf)
             endsBySuspect.getOrPut(suspect) { LinkedHashSet() } += known
+            recentAnswers.remove(suspect)?.let { answeredAt.merge(suspect, it, ::maxOf) }
         }
         if (ends.size > MAX_ENDS) remove(ends.values.first())
     }
@@ -41,8 +45,13 @@
 
     /** Records that a server has answered [suspect] at [time]: no end before [time] counts against it. */
     fun recordProgress(suspect: Suspect, time: MonotonicTime) {
-        answeredAt.merge(suspect, time, ::maxOf)
-        if (answeredAt.size > MAX_ANSWERED) answeredAt.remove(answeredAt.keys.first())
+        if (suspect in endsBySuspect) {
+            answeredAt.merge(suspect, time, ::maxOf)
+            return
+        }
+        recentAnswers.remove(suspect)
+        recentAnswers[suspect] = time
+        if (recentAnswers.size > MAX_RECENT_ANSWERS) recentAnswers.remove(recentAnswers.keys.first())
     }
 
     /** Returns whether an end counts against [suspect]. */
@@ -50,17 +59,16 @@
 
     /** Returns what counts against [suspect]. */
     fun suspicion(suspect: Suspect): Suspicion =
-        Suspicion(
-            suspect,
-            endsBySuspect[suspect].orEmpty().filter {
-                it.countsAgainst(suspect)
-            }.sortedBy { it.endedAt },
-        )
+        Suspicion(suspect, countedEnds(suspect).sortedBy { it.endedAt })
+
+    private fun countedEnds(suspect: Suspect): List<ServerEnd> =
+        endsBySuspect[suspect].orEmpty().filter { it.countsAgainst(suspect) }
 
     /** Forgets ends that are too old to say anything about newer ones. */
     fun removeExpired(now: MonotonicTime) {
         ends.values.filter { now - it.endedAt > MAX_AGE }.forEach(::remove)
-        answeredAt.entries.removeIf { (suspect, at) -> suspect !in endsBySuspect && now - at > TRUST_TIME }
+        answeredAt.keys.retainAll(endsBySuspect.keys)
+        recentAnswers.values.removeIf { now - it > TRUST_TIME }
     }
 
     /** Returns the last time at which a server ended, null if none did. */
@@ -186,7 +194,7 @@
         /** Ends among the first of a request at which no other suspect was that met more than one end. */
         const val MIN_UNCONTESTED_ENDS = 2
         const val MAX_ENDS = 256
-        const val MAX_ANSWERED = 4_096
+        const val MAX_RECENT_ANSWERS = 4_096
 
         /** Time for which the answer to a request shows that it did not end a server. */
         val TRUST_TIME: Duration = 10.seconds
