Wait before the first call after every takeover of the duties, and start the wait when the record is read

Cause: an entry that held the duties before and takes them over again by a write whose answer is lost kept the time of its first takeover, so it could call while calls of the former holder were still on their way. Change: the delay belongs to a fencing number and counts from the reading of the replaced record, which the conditional write proves to be the former holder's last. The holder renews at least every 2 s, so that it notices a lost store.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -17,7 +17,9 @@
  *
  * Before each call the holder writes the duty record conditionally; the call must start within [GRANT_VALIDITY] of the
  * start of that write. A new holder waits for [TAKEOVER_DELAY] before its first call, so that calls of the former
- * holder have ended. A holder that was paused while another entry took over gets a conflict on its next write.
+ * holder have ended. The delay counts from when the new holder read the record that it replaced: the conditional write
+ * shows that the former holder has not renewed since. A holder that was paused while another entry took over gets a
+ * conflict on its next write.
  *
  * @param holder name of this entry's instance
  * @param incarnation Unix time in milliseconds of this process's start
@@ -31,11 +33,17 @@
 ) {
     private var cached: StoredRecord? = null
     private var isWriteOutcomeUnknown = false
-    private var acquiredAt: MonotonicTime? = null
+
+    /** Fencing number that this entry has taken, also by a write of unknown outcome, with the time of the last read. */
+    private var acquisition: Acquisition? = null
+    private var renewedAt: MonotonicTime? = null
 
     /** The fencing number if the cached record names this incarnation as the holder, null otherwise. */
     public val fencingNumber: Long? get() = cached?.record?.takeIf(::isOwn)?.fencingNumber
 
+    /** Time since the start of the last renewal, null before the first. */
+    public val renewalAge: Duration? get() = renewedAt?.let { now() - it }
+
     /** Whether this entry holds the duties by the cached record, or may hold them after a write of unknown outcome. */
     public val isPresumedHolder: Boolean get() = fencingNumber != null || isWriteOutcomeUnknown
 
@@ -56,9 +64,10 @@
             } catch (exception: SerializationException) {
                 return DutyReading.Unavailable("duty record $RECORD_KEY can't be decoded: ${exception.message}")
             }
-        cached = StoredRecord(record, reading.stored.version)
+        cached = StoredRecord(record, reading.stored.version, now())
         isWriteOutcomeUnknown = false
-        if (isOwn(record) && acquiredAt == null) acquiredAt = now()
+        val isAcquired = acquisition?.fencingNumber == record.fencingNumber
+        if (isOwn(record) && !isAcquired) acquisition = Acquisition(record.fencingNumber, now())
         return DutyReading.Found(record)
     }
 
@@ -82,8 +91,9 @@
                 totals = former?.totals.orEmpty(),
                 baseline = former?.baseline.orEmpty(),
             )
+        val lastForeignWriteBy = cached?.readAt ?: now()
         if (!write(record)) return false
-        acquiredAt = now()
+        acquisition = Acquisition(record.fencingNumber, lastForeignWriteBy)
         return true
     }
 
@@ -100,7 +110,7 @@
         baseline: Map<String, Map<String, Int>> = emptyMap(),
     ): DutyGrant? {
         if (isWriteOutcomeUnknown) readRecord()
-        val record = cached?.record?.takeIf { isOwn(it) && isTakeoverDelayOver() } ?: return null
+        val record = cached?.record?.takeIf { isOwn(it) && isTakeoverDelayOver(it) } ?: return null
         val writeStartedAt = now()
         val keptTotals = (totals + record.totals).toSortedMap().entries.toList().takeLast(MAX_KEPT_WINDOWS)
         val next =
@@ -109,17 +119,21 @@
                 totals = keptTotals.associate { it.key to it.value },
                 baseline = baseline + record.baseline,
             )
+        renewedAt = writeStartedAt
         if (!write(next)) return null
         return DutyGrant(next, writeStartedAt + GRANT_VALIDITY).takeIf { it.isValid(now()) }
     }
 
-    private fun isTakeoverDelayOver(): Boolean = acquiredAt?.let { now() - it >= TAKEOVER_DELAY } == true
+    private fun isTakeoverDelayOver(record: DutyRecord): Boolean {
+        val acquired = acquisition?.takeIf { it.fencingNumber == record.fencingNumber } ?: return false
+        return now() - acquired.lastForeignWriteBy >= TAKEOVER_DELAY
+    }
 
     private suspend fun write(record: DutyRecord): Boolean {
         val expected = cached?.let { ExpectedVersion.Is(it.version) } ?: ExpectedVersion.Absent
         val writing = store.write(RECORD_KEY, Json.encodeToString(DutyRecord.serializer(), record), expected)
         when (writing) {
-            is ObjectWriting.Written -> cached = StoredRecord(record, writing.version)
+            is ObjectWriting.Written -> cached = StoredRecord(record, writing.version, now())
             is ObjectWriting.Refused -> Unit
             is ObjectWriting.Conflict -> clearCache()
             is ObjectWriting.Unknown -> {
@@ -132,7 +146,10 @@
 
     private fun isOwn(record: DutyRecord): Boolean = record.holder == holder && record.incarnation == incarnation
 
-    private class StoredRecord(val record: DutyRecord, val version: ObjectVersion)
+    private class StoredRecord(val record: DutyRecord, val version: ObjectVersion, val readAt: MonotonicTime)
+
+    /** A taken [fencingNumber]; no other holder has written the record after [lastForeignWriteBy]. */
+    private class Acquisition(val fencingNumber: Long, val lastForeignWriteBy: MonotonicTime)
 
     public companion object {
         /** Key of the duty record in the object store. */
@@ -141,7 +158,7 @@
         /** Time from the start of a renewing write within which a call must start. */
         public val GRANT_VALIDITY: Duration = 1.seconds
 
-        /** Time that a new holder waits before its first call. */
+        /** Time that a new holder waits before its first call, from its reading of the former holder's record. */
         public val TAKEOVER_DELAY: Duration = 2_500.milliseconds
 
         /** Newest usage windows whose totals the record keeps. */
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/DutyLeaseTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/DutyLeaseTest.kt
@@ -39,6 +39,49 @@
             assertEquals(2, second.renew()?.fencingNumber?.value)
         }
 
+    @Test
+    fun `the takeover delay counts from the reading of the record that is replaced`() =
+        runBlocking {
+            first.takeOver()
+            second.readRecord()
+            now += 2.seconds
+            assertTrue(second.takeOver())
+            assertNull(second.renew())
+            now += 1.seconds
+            assertEquals(2, second.renew()?.fencingNumber?.value)
+        }
+
+    @Test
+    fun `a renewal by the former holder after its record was read makes the takeover fail`() =
+        runBlocking {
+            first.takeOver()
+            now += 3.seconds
+            second.readRecord()
+            assertNotNull(first.renew())
+            assertFalse(second.takeOver())
+            now += 2.seconds
+            assertTrue(second.takeOver())
+            assertNull(second.renew())
+        }
+
+    @Test
+    fun `a former holder that takes over again by a write of unknown outcome does not call at once`() =
+        runBlocking {
+            first.takeOver()
+            now += 3.seconds
+            assertNotNull(first.renew())
+            second.takeOver()
+            now += 3.seconds
+            assertNull(first.renew())
+            assertNotNull(second.renew())
+            store.losesAnswers = true
+            first.takeOver()
+            store.losesAnswers = false
+            assertNull(first.renew())
+            now += 3.seconds
+            assertEquals(3, first.renew()?.fencingNumber?.value)
+        }
+
     @Test
     fun `a recorded usage total is never replaced`() =
         runBlocking {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -61,20 +61,29 @@
         if (!lease.isPresumedHolder) return
         reportUsage()
         orderCapacity()
+        if (lease.renewalAge.let { it == null || it >= LONGEST_RENEWAL_INTERVAL }) lease.renew()
     }
 
     /**
      * Takes the lease over if no entry has held it for [TAKEOVER_AFTER].
      *
-     * Only the ready entry whose name sorts first does so, to avoid conflicting writes.
+     * Only the ready entry whose name sorts first does so, to avoid conflicting writes. It reads the record at once, so
+     * that the delay before its first call has mostly passed when it takes over.
      */
     private suspend fun tryToAcquireLease() {
         val now = controlPlane.now()
-        val since = leaseUnheldSince ?: now.also { leaseUnheldSince = it }
         val first = peers.table.livePeers(now).filter { it.isReady }.minOfOrNull { it.name }
-        if (now - since < TAKEOVER_AFTER || first != null && first < entryName) return
-        lease.clearCache()
-        lease.takeOver()
+        if (first != null && first < entryName) {
+            leaseUnheldSince = leaseUnheldSince ?: now
+            return lease.clearCache()
+        }
+        val since = leaseUnheldSince
+        if (since == null) {
+            leaseUnheldSince = now
+            lease.clearCache()
+        }
+        lease.readRecord()
+        if (since != null && now - since >= TAKEOVER_AFTER) lease.takeOver()
     }
 
     private fun recordLeaseState() {
@@ -165,6 +174,9 @@
     private companion object {
         val DUTY_INTERVAL = 500.milliseconds
         val TAKEOVER_AFTER = 2.seconds
+
+        /** Time without a renewal after which the holder renews, so that it notices early that it has lost the store. */
+        val LONGEST_RENEWAL_INTERVAL = 2.seconds
         const val USAGE_SETTLING_MILLIS = 1_800L
         const val REMEMBERED_WINDOWS = 6
         const val MAX_ORDERS_PER_INTERVAL = 8
