--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
@@ -56,9 +56,11 @@
         exp(-(now - reportedAt).toDouble(DurationUnit.SECONDS) / REPORT_DECAY_SECONDS)
 
     fun recordLoadReport(report: LoadReport, now: MonotonicTime) {
-        reportedOthers = maxOf(0, report.running + report.waiting - inFlight).toDouble()
+        val waiting = report.waiting ?: return
+        val running = report.running ?: return
+        reportedOthers = maxOf(0, running + waiting - inFlight).toDouble()
         meanOthers += (reportedOthers - meanOthers) * SMOOTHING_FACTOR
-        reportedWaiting = report.waiting.toDouble()
+        reportedWaiting = waiting.toDouble()
         reportedAt = now
     }
 
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/FleetSimulationTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/FleetSimulationTest.kt
@@ -7,7 +7,7 @@
 class FleetSimulationTest {
     private val seeds = 1..3
     private val anyServer = { engines: List<SimulatedEngine>, random: Random -> engines[random.nextInt(engines.size)] }
-    private val leastRunning = { engines: List<SimulatedEngine>, _: Random -> engines.minBy { it.load.running } }
+    private val leastRunning = { engines: List<SimulatedEngine>, _: Random -> engines.minBy { it.runningCount } }
 
     private fun inTimeFraction(simulation: FleetSimulation): Double =
         simulation.inTime / simulation.requested.toDouble()
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/LearnedLatencyTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/LearnedLatencyTest.kt
@@ -32,7 +32,7 @@
     ) {
         var next = 0
         val own = simulate(speed, kinds, policy = null)
-        val leastRequests = simulate(speed, kinds) { engines, _ -> engines.minBy { it.load.running + it.load.waiting } }
+        val leastRequests = simulate(speed, kinds) { engines, _ -> engines.minBy { it.runningCount + it.waitingCount } }
         val roundRobin = simulate(speed, kinds) { engines, _ -> engines[next++ % engines.size] }
         val target = kinds.minOf { it.targetMillis }
         val error = own.errors.sorted()[own.errors.size * 9 / 10]
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/SimulatedEngine.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/SimulatedEngine.kt
@@ -40,6 +40,8 @@
     var sharedTokensRead = 0L
         private set
 
+    val runningCount: Int get() = running.size
+    val waitingCount: Int get() = waiting.size
     val load: LoadReport get() = LoadReport(running.size, waiting.size, speed.slots)
 
     fun add(execution: Execution, at: Double) {
