--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/HoldReason.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/HoldReason.kt
@@ -19,4 +19,10 @@
 
     /** The entry's part of the rate that a cold server takes is in use. */
     COLD,
+
+    /** The request has already had an attempt at the server. */
+    TRIED,
+
+    /** The server was unreachable or silent a short time ago, and there are others. */
+    SUSPECT,
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
@@ -33,9 +33,11 @@
         return LatencyPrediction.FirstEvent(state, firstEventModel(request).predictMillis(state))
     }
 
-    /** Returns the predicted milliseconds until the first event from an idle engine with [prefillTokens] to process. */
-    fun idleFirstEventMillis(request: ForwardRequest, prefillTokens: Int): Double =
-        firstEventModel(request).predictMillis(EngineState(prefillTokens, running = 0.0, waiting = 0.0))
+    /** Returns the prediction for [request] at an idle server, with [prefillTokens] prompt tokens to process. */
+    fun idleMillis(request: ForwardRequest, prefillTokens: Int): Double {
+        if (!request.route.isStream) return answerModel(request).predictMillis(request.route.name, utilization = 0.0)
+        return firstEventModel(request).predictMillis(EngineState(prefillTokens, running = 0.0, waiting = 0.0))
+    }
 
     /** Learns that what was predicted for a request of [service] took [measuredMillis]. */
     fun learn(service: ServiceName, prediction: LatencyPrediction, measuredMillis: Double) {
@@ -76,10 +78,6 @@
         return rereadTokens * firstEventModel(request).millisPerToken * delayedRequests
     }
 
-    /** Returns the factor, at least 1, by which failures above [usualFailureFraction] raise the cost of a server. */
-    fun failureFactor(load: ServerLoad, usualFailureFraction: Double, now: MonotonicTime): Double =
-        1.0 + FAILURE_WEIGHT * maxOf(0.0, load.failureFraction(now) - usualFailureFraction)
-
     /** Returns what is added to the cost of a server outside this entry's availability zone. */
     fun otherZoneMillis(load: ServerLoad): Double =
         if (load.server.availabilityZone == availabilityZone) 0.0 else settings.otherZoneMillis
@@ -94,8 +92,6 @@
         request.route.latencyTarget.toDouble(DurationUnit.MILLISECONDS)
 
     private companion object {
-        const val FAILURE_WEIGHT = 8.0
-
         /** Requests beside a prefill whose delay counts at most. */
         const val MAX_DELAYED_REQUESTS = 8.0
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
@@ -35,6 +35,10 @@
     private var meanOthers = 0.0
     private var reportedWaiting = 0.0
     private var reportedAt = firstSeenAt
+
+    /** The last load report that names the running and the waiting requests, null before the first. */
+    var lastReport: LoadReport? = null
+        private set
     private var failures = 0.0
     private var outcomes = 0.0
     private var outcomesAt = firstSeenAt
@@ -62,8 +66,12 @@
         meanOthers += (reportedOthers - meanOthers) * SMOOTHING_FACTOR
         reportedWaiting = waiting.toDouble()
         reportedAt = now
+        lastReport = report
     }
 
+    /** Returns the age of the last load report, or the time since the server was listed. */
+    fun knowledgeAgeMillis(now: MonotonicTime): Long = (now - reportedAt).inWholeMilliseconds
+
     /** Returns the fraction of recent attempts that failed. */
     fun failureFraction(now: MonotonicTime): Double {
         decayOutcomes(now)
