Let a few entries watch the store and tell the others; heed the store's era

Up to 16 entries each watched the configuration, and entries of any number each watched the servers, so calls grew with the fleet.

The answers name the era of the store. After it has risen, entries list with up-to-date reads, register again, and the holder of the duties takes the lease under a higher number with the totals that it has reported.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -118,4 +118,9 @@
         "This entry could not register or read the other entries' registrations; it retries.",
     ),
     CONTROL_TASK_FAILED(9015, LogLevel.ERROR, "A task of the control thread has failed and was not restarted."),
+    STORE_ERA_RISEN(
+        9016,
+        LogLevel.WARN,
+        "The store has come back from an older copy; the entry lists and registers again.",
+    ),
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -33,6 +33,12 @@
     private var isWriteOutcomeUnknown = false
     private var acquiredAt: MonotonicTime? = null
 
+    /** Totals of the records that this entry has read or written, which an older copy of the store may lack. */
+    private var knownTotals: Map<Long, Map<String, Int>> = emptyMap()
+    private var knownBaseline: Map<String, Map<String, Int>> = emptyMap()
+    private var highestKnownNumber = 0L
+    private var lastOwnNumber: Long? = null
+
     /** The fencing number if the cached record names this incarnation as the holder, null otherwise. */
     public val fencingNumber: Long? get() = cached?.record?.takeIf(::isOwn)?.fencingNumber
 
@@ -58,6 +64,7 @@
             }
         cached = StoredRecord(record, reading.stored.version)
         isWriteOutcomeUnknown = false
+        remember(record)
         if (isOwn(record) && acquiredAt == null) acquiredAt = now()
         return DutyReading.Found(record)
     }
@@ -68,6 +75,21 @@
         isWriteOutcomeUnknown = false
     }
 
+    /** Records that an entry holds or held the lease under [fencingNumber]. */
+    public fun recordFencingNumber(fencingNumber: Long) {
+        highestKnownNumber = maxOf(highestKnownNumber, fencingNumber)
+    }
+
+    /**
+     * Records that the store has come back from an older copy, so that this entry no longer holds the lease.
+     *
+     * The next record takes a higher fencing number than any known one and the known totals, which the copy may lack.
+     */
+    public fun storeRestored() {
+        lastOwnNumber?.let { recordFencingNumber(it + 1) }
+        clearCache()
+    }
+
     /** Takes the duties over from the present holder, if any; returns whether this entry holds them now. */
     public suspend fun takeOver(): Boolean {
         val reading = readRecord()
@@ -78,9 +100,9 @@
             DutyRecord(
                 holder = holder,
                 incarnation = incarnation,
-                fencingNumber = (former?.fencingNumber ?: 0) + 1,
-                totals = former?.totals.orEmpty(),
-                baseline = former?.baseline.orEmpty(),
+                fencingNumber = maxOf(former?.fencingNumber ?: 0, highestKnownNumber) + 1,
+                totals = newestWindows(former?.totals.orEmpty() + knownTotals),
+                baseline = former?.baseline.orEmpty() + knownBaseline,
             )
         if (!write(record)) return false
         acquiredAt = now()
@@ -102,24 +124,36 @@
         if (isWriteOutcomeUnknown) readRecord()
         val record = cached?.record?.takeIf { isOwn(it) && isTakeoverDelayOver() } ?: return null
         val writeStartedAt = now()
-        val keptTotals = (totals + record.totals).toSortedMap().entries.toList().takeLast(MAX_KEPT_WINDOWS)
         val next =
             record.copy(
                 renewals = record.renewals + 1,
-                totals = keptTotals.associate { it.key to it.value },
+                totals = newestWindows(totals + record.totals),
                 baseline = baseline + record.baseline,
             )
         if (!write(next)) return null
         return DutyGrant(next, writeStartedAt + GRANT_VALIDITY).takeIf { it.isValid(now()) }
     }
 
+    private fun newestWindows(totals: Map<Long, Map<String, Int>>): Map<Long, Map<String, Int>> =
+        totals.toSortedMap().entries.toList().takeLast(MAX_KEPT_WINDOWS).associate { it.key to it.value }
+
+    /** Keeps the totals and baselines of [record] where none are known yet. */
+    private fun remember(record: DutyRecord) {
+        knownTotals = newestWindows(record.totals + knownTotals)
+        knownBaseline = record.baseline + knownBaseline
+        if (isOwn(record)) lastOwnNumber = record.fencingNumber
+    }
+
     private fun isTakeoverDelayOver(): Boolean = acquiredAt?.let { now() - it >= TAKEOVER_DELAY } == true
 
     private suspend fun write(record: DutyRecord): Boolean {
         val expected = cached?.let { ExpectedVersion.Is(it.version) } ?: ExpectedVersion.Absent
         val writing = store.write(RECORD_KEY, Json.encodeToString(DutyRecord.serializer(), record), expected)
         when (writing) {
-            is ObjectWriting.Written -> cached = StoredRecord(record, writing.version)
+            is ObjectWriting.Written -> {
+                cached = StoredRecord(record, writing.version)
+                remember(record)
+            }
             is ObjectWriting.Refused -> Unit
             is ObjectWriting.Conflict -> clearCache()
             is ObjectWriting.Unknown -> {
@@ -130,7 +164,9 @@
         return writing is ObjectWriting.Written
     }
 
-    private fun isOwn(record: DutyRecord): Boolean = record.holder == holder && record.incarnation == incarnation
+    /** Returns whether [record] names this entry as the holder and is not from before another one was known. */
+    private fun isOwn(record: DutyRecord): Boolean =
+        record.holder == holder && record.incarnation == incarnation && record.fencingNumber >= highestKnownNumber
 
     private class StoredRecord(val record: DutyRecord, val version: ObjectVersion)
 
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/DutyLeaseTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/DutyLeaseTest.kt
@@ -83,4 +83,36 @@
             assertTrue(restarted.takeOver())
             assertEquals(2, restarted.fencingNumber)
         }
+
+    @Test
+    fun `after the store came back from an older copy, a reported window keeps its counts under a higher number`() =
+        runBlocking {
+            first.takeOver()
+            store.takeCopy()
+            now += 3.seconds
+            first.renew(totals = mapOf(7L to mapOf("w" to 3)))
+            store.restore()
+            first.storeRestored()
+            assertFalse(first.isPresumedHolder)
+            assertTrue(first.takeOver())
+            now += 3.seconds
+            val grant = assertNotNull(first.renew(totals = mapOf(7L to mapOf("w" to 4))))
+            assertEquals(mapOf("w" to 3), grant.record.totals[7L])
+            assertTrue(grant.fencingNumber.value > 1, "a number of the lost records must not be used again")
+        }
+
+    @Test
+    fun `a former holder does not act on a copy from before another entry took over`() =
+        runBlocking {
+            first.takeOver()
+            store.takeCopy()
+            second.takeOver()
+            store.restore()
+            first.storeRestored()
+            first.recordFencingNumber(2)
+            first.readRecord()
+            assertFalse(first.isPresumedHolder)
+            assertTrue(first.takeOver())
+            assertTrue(checkNotNull(first.fencingNumber) > 2, "the number of the other holder must not be used again")
+        }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -29,6 +29,7 @@
     private val controlPlane: ControlPlane,
     private val peers: PeerGossip,
     private val lease: DutyLease,
+    private val era: StoreEra,
     private val calls: DutyCalls,
     private val windows: UsageWindows,
     private val entryName: String,
@@ -38,6 +39,7 @@
     private val reportedWindows = HashSet<Long>()
     private var leaseUnheldSince: MonotonicTime? = null
     private var heldFencingNumber: Long? = null
+    private var leaseEra = StoreEra.UNKNOWN
     private val startedAtMillis = System.currentTimeMillis()
 
     fun start(scope: CoroutineScope) {
@@ -50,7 +52,10 @@
     }
 
     private suspend fun performDuties() {
+        if (era.hasRisenSince(leaseEra)) reclaimLease()
+        leaseEra = era.current.value
         val highestPeerNumber = peers.table.livePeers(controlPlane.now()).map { it.dutyFencingNumber }.maxOrNull() ?: 0
+        lease.recordFencingNumber(highestPeerNumber)
         if (highestPeerNumber > (lease.fencingNumber ?: 0)) {
             lease.clearCache()
             leaseUnheldSince = null
@@ -63,6 +68,18 @@
         orderCapacity()
     }
 
+    /**
+     * Takes the lease again after the store has come back from an older copy, if this entry held it before.
+     *
+     * The former holder knows the totals that it has reported, which the copy may lack.
+     */
+    private suspend fun reclaimLease() {
+        val wasHolder = lease.isPresumedHolder
+        lease.storeRestored()
+        leaseUnheldSince = null
+        if (wasHolder) lease.takeOver()
+    }
+
     /**
      * Takes the lease over if no entry has held it for [TAKEOVER_AFTER].
      *
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -47,8 +47,8 @@
         val gatewayPorts = ports(PlatformHttpClient(controlLoop), metrics)
         val trafficLoop = trafficGroup.next()
         dataPlane = DataPlane(settings, gatewayPorts.wire, trafficLoop, log, metrics)
-        controlPlane = ControlPlane(dataPlane, gatewayPorts.store, gatewayPorts.source, log)
-        peers = PeerGossip(dataPlane, controlPlane, gatewayPorts.store, log, incarnation)
+        controlPlane = ControlPlane(dataPlane, gatewayPorts.store, gatewayPorts.storeEra, gatewayPorts.source, log)
+        peers = PeerGossip(dataPlane, controlPlane, EntryRegistrations(gatewayPorts, settings, log), log, incarnation)
         val scope = CoroutineScope(SupervisorJob() + controlLoop.asCoroutineDispatcher() + exceptionHandler())
         startQuarantine(QuarantineArchive(gatewayPorts.store, log), scope)
         peers.start(controlGroup, scope)
@@ -57,7 +57,8 @@
         startRollouts(gatewayPorts, lease, scope)
         gatewayPorts.duties?.let { duties ->
             peers.dutyFencingNumber = { lease.fencingNumber ?: 0 }
-            Duties(controlPlane, peers, lease, duties, dataPlane.usageWindows, settings.name, log).start(scope)
+            val era = gatewayPorts.storeEra
+            Duties(controlPlane, peers, lease, era, duties, dataPlane.usageWindows, settings.name, log).start(scope)
         }
         controlPlane.start(scope)
         isListening = true
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -27,18 +27,11 @@
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
-import org.yuccajunction.port.ExpectedVersion
-import org.yuccajunction.port.ObjectListing
-import org.yuccajunction.port.ObjectReading
-import org.yuccajunction.port.ObjectStore
-import org.yuccajunction.port.ObjectWriting
-import org.yuccajunction.port.StoredObject
 import org.yuccajunction.quota.UsageTotals
 import org.yuccajunction.rollout.MoveReport
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Exchanges heartbeats and membership updates with peers by datagrams.
@@ -50,7 +43,7 @@
 internal class PeerGossip(
     private val dataPlane: DataPlane,
     private val controlPlane: ControlPlane,
-    private val store: ObjectStore,
+    private val registrations: EntryRegistrations,
     private val log: DecisionLog,
     private val incarnation: Long,
 ) {
@@ -86,53 +79,12 @@
                 .bind(settings.peerEndpoint.host, settings.peerEndpoint.port)
                 .syncUninterruptibly()
                 .channel()
-        scope.launch { register() }
-        scope.launch { sendHeartbeatsRepeatedly() }
-    }
-
-    /**
-     * Registers this entry in the store, then lists the registrations of all entries again and again.
-     *
-     * The write comes first, so that of two entries that start together at least one finds the other.
-     */
-    private suspend fun register() {
-        while (true) {
-            val writing = writeRegistration()
-            if (writing is ObjectWriting.Written) break
-            retryLater("write", writing)
-        }
-        while (true) {
-            when (val listing = store.list(REGISTRATION_KIND)) {
-                is ObjectListing.Listed -> {
-                    listing.objects.forEach(::addRegistration)
-                    delay(REGISTRATION_LIST_INTERVAL)
-                }
-                else -> retryLater("list", listing)
+        scope.launch {
+            registrations.follow({ controlPlane.confirmsWithStore }) { name, address ->
+                table.addRegistration(name, address, dataPlane.now())
             }
         }
-    }
-
-    private fun addRegistration(stored: StoredObject) {
-        val address = stored.value?.trim('"') ?: return
-        table.addRegistration(stored.key.substringAfter('/'), address, dataPlane.now())
-    }
-
-    private suspend fun retryLater(call: String, outcome: Any) {
-        log.write(LogEvent.REGISTRATION_FAILED) {
-            field("call", call)
-            field("outcome", outcome)
-        }
-        delay(REGISTRATION_RETRY_DELAY)
-    }
-
-    private suspend fun writeRegistration(): ObjectWriting {
-        val key = "$REGISTRATION_KIND/${settings.name}"
-        val value = "\"${settings.peerEndpoint}\""
-        val writing = store.write(key, value, ExpectedVersion.Absent)
-        if (writing is ObjectWriting.Written) return writing
-        val stored = (store.read(key) as? ObjectReading.Found)?.stored ?: return writing
-        if (stored.value == value) return ObjectWriting.Written(stored.version)
-        return store.write(key, value, ExpectedVersion.Is(stored.version))
+        scope.launch { sendHeartbeatsRepeatedly() }
     }
 
     /** Returns the demand for servers of [service] at all live entries together. */
@@ -282,11 +234,8 @@
     }
 
     private companion object {
-        const val REGISTRATION_KIND = "entry-registrations"
         const val MIN_JITTER = 0.9
         const val MAX_JITTER = 1.1
-        val REGISTRATION_RETRY_DELAY = 500.milliseconds
-        val REGISTRATION_LIST_INTERVAL = 20.seconds
         val USAGE_SEND_INTERVAL = 800.milliseconds
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreHealth.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreHealth.kt
@@ -6,11 +6,11 @@
 import org.yuccajunction.control.LogEvent
 
 /**
- * Records whether the platform's store answers this entry.
+ * Records whether the platform's store answers this entry, and in which era.
  *
  * While the store is unavailable, only the follower of the configuration goes on asking.
  */
-internal class StoreHealth(private val log: DecisionLog) {
+internal class StoreHealth(private val log: DecisionLog, val era: StoreEra = StoreEra()) {
     private val available = MutableStateFlow(true)
 
     val isAvailable: StateFlow<Boolean> get() = available
