Shed load while the event loop of an entry is late

After all entries lost power and restarted, each entry processed in order the requests of callers that had disconnected: 406 were sent to servers, and nothing was served in time for 12 s.

Requests are now admitted in turns, in a task after all sockets were read, by urgency and newest first, for a limited time per turn. The time for which a request may have waited in its socket or in the accept queue counts against its deadline. Requests that are too old are rejected before key, quota, fingerprint, server choice and connection. Sockets are read until empty, so that a close is seen with the request before it. A request is checked again before it is written to a server, and the time left is computed then.

EntryOverloadTest shows on loopback that no request of a caller that has disconnected reaches a server.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -83,6 +83,16 @@
         LogLevel.WARN,
         "The predicted latencies of a service differ from the measured ones by a large factor.",
     ),
+    ENTRY_OVERLOADED(
+        7010,
+        LogLevel.WARN,
+        "The event loop was late, and requests were rejected or dropped for that; at most one line per second.",
+    ),
+    REQUEST_HANDLING_FAILED(
+        7011,
+        LogLevel.ERROR,
+        "The handling of one request or connection failed unexpectedly; its connection is closed.",
+    ),
     ENTRIES_CHANGED(9001, LogLevel.INFO, "The set of live entries has changed."),
     SERVER_LISTED(9002, LogLevel.INFO, "A backend server was registered, or its registration has changed."),
     SERVER_UNLISTED(9003, LogLevel.INFO, "A backend server is no longer registered."),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardRequest.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardRequest.kt
@@ -13,7 +13,7 @@
  * @property id the caller's identifier of this try of the request
  * @property workspace workspace whose API key the request carries, null if the route needs none
  * @property rank urgency of the request; 0 is the most urgent
- * @property receivedAt time at which the headers were read
+ * @property receivedAt earliest time at which the request may have arrived in the socket
  * @property deadline time by which the caller must have the final answer
  * @property promptTokens length of the prompt in tokens, 0 if the request does not give it
  * @property answerTokens greatest number of tokens to generate
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
@@ -22,6 +22,9 @@
     ENTRY_LEAVING(503, "entry-leaving", isOfEntry = true),
     TOO_LATE(503, "too-late"),
 
+    /** The event loop of this entry is late, and other requests come first. */
+    ENTRY_OVERLOADED(503, "entry-overloaded", isOfEntry = true),
+
     /** Backend servers have ended under this request, or under others with a part of its prompt. */
     CRASHING_REQUEST(503, "crashing-request"),
     ;
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -1,17 +1,14 @@
 package org.yuccajunction.gateway
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -22,11 +19,10 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.forward.CallerLimits
+import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.model.MonotonicTime
 import java.util.Locale
 import kotlin.time.Duration
@@ -50,13 +46,17 @@
     private lateinit var channel: Channel
     private val admission = ForwardAdmission(dataPlane, isOfPeer)
     private val waitingRequests = ArrayDeque<ReceivedRequest>()
-    private var incomingHead: HttpRequest? = null
-    private var incomingBody: CompositeByteBuf? = null
+    private val assembler = RequestAssembler(limits.bodyBytes)
+    private var pending: ReceivedRequest? = null
     private var exchange: Exchange? = null
     private var isAnswering = false
     private var isKeptOpen = true
     private var lastActiveAt = dataPlane.now()
-    private var hasPartialRequest = false
+    private var acceptedInTurn = dataPlane.loopDelay.turn
+    private val acceptedSince = dataPlane.acceptedSince
+
+    /** Whether the caller is still there, as far as is known. */
+    val isConnected: Boolean get() = channel.isActive
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -73,36 +73,26 @@
 
     private fun read(message: HttpObject) {
         lastActiveAt = dataPlane.now()
-        if (message.decoderResult().isFailure) return rejectUndecodable(message.decoderResult())
-        if (message is HttpRequest) beginRequest(message)
-        if (message is HttpContent) addContent(message)
-    }
-
-    private fun beginRequest(request: HttpRequest) {
-        incomingHead = request
-        hasPartialRequest = true
-        incomingBody = Unpooled.compositeBuffer(MAX_BODY_PARTS)
-        if (RequestFraming.isAmbiguous(request)) {
-            return rejectAndClose(HttpResponseStatus.BAD_REQUEST, "ambiguous-length")
-        }
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        dataPlane.loopDelay.awoke(lastActiveAt)
+        when (val outcome = assembler.add(message)) {
+            is RequestAssembler.Outcome.Rejected -> rejectAndClose(outcome.status, outcome.code)
+            is RequestAssembler.Outcome.Whole -> {
+                val arrivedAt = earliestArrival(lastActiveAt)
+                waitingRequests.addLast(ReceivedRequest(outcome.head, outcome.body, lastActiveAt, arrivedAt))
+                admitNext()
+            }
+            is RequestAssembler.Outcome.Incomplete ->
+                if (message is HttpRequest && HttpUtil.is100ContinueExpected(message)) {
+                    channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+                }
         }
     }
 
-    private fun addContent(content: HttpContent) {
-        val request = incomingHead ?: return
-        val parts = incomingBody ?: return
-        if (parts.readableBytes() + content.content().readableBytes() > limits.bodyBytes) {
-            return rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body-too-large")
-        }
-        if (content.content().isReadable) parts.addComponent(true, content.content().retain())
-        if (content !is LastHttpContent) return
-        incomingHead = null
-        incomingBody = null
-        hasPartialRequest = false
-        waitingRequests.addLast(ReceivedRequest(request, parts, dataPlane.now()))
-        admitNext()
+    /** Returns when a request that is read at [now] may have arrived; the first may have come with the connection. */
+    private fun earliestArrival(now: MonotonicTime): MonotonicTime {
+        val ofTurn = dataPlane.loopDelay.earliestArrival(now)
+        val isFirstRead = dataPlane.loopDelay.turn - acceptedInTurn <= 1
+        return if (isFirstRead && acceptedSince != null) minOf(ofTurn, acceptedSince) else ofTurn
     }
 
     private fun admitNext() {
@@ -110,32 +100,41 @@
         val received = waitingRequests.removeFirstOrNull() ?: return
         isAnswering = true
         isKeptOpen = HttpUtil.isKeepAlive(received.head)
+        pending = received
+        dataPlane.admissions.add(PendingRequest(received, this))
+    }
+
+    /** Admits the request that waits. */
+    fun admitPending() {
+        val received = pending ?: return
+        pending = null
         admission.admit(received, this)
     }
 
+    /** Rejects the request that waits, because the event loop is late. */
+    fun rejectPending(retryAfter: Duration) {
+        val received = pending ?: return
+        pending = null
+        received.body.release()
+        writeRejection(RefusalCause.ENTRY_OVERLOADED.status, RefusalCause.ENTRY_OVERLOADED.code, retryAfter)
+    }
+
+    fun close() {
+        channel.close()
+    }
+
     fun forward(exchange: Exchange) {
         this.exchange = exchange
         exchange.start()
     }
 
-    private fun rejectUndecodable(result: DecoderResult) {
-        when (result.cause()) {
-            is TooLongHttpHeaderException ->
-                rejectAndClose(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers-too-large")
-            is TooLongHttpLineException -> rejectAndClose(HttpResponseStatus.REQUEST_URI_TOO_LONG, "line-too-long")
-            else -> rejectAndClose(HttpResponseStatus.BAD_REQUEST, "malformed")
-        }
-    }
-
     /** Rejects a request that can't be parsed, and closes the connection once earlier answers are written. */
     private fun rejectAndClose(status: HttpResponseStatus, code: String) {
         dataPlane.log.write(LogEvent.CALLER_REJECTED) {
             field("status", status.code())
             field("reason", code)
         }
-        incomingHead = null
-        incomingBody?.release()
-        incomingBody = null
+        assembler.release()
         channel.config().isAutoRead = false
         if (isAnswering) {
             isKeptOpen = false
@@ -153,7 +152,8 @@
         if (status != HttpResponseStatus.NO_CONTENT && status != HttpResponseStatus.NOT_MODIFIED) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
-        writeOnly(response)
+        markClosing(response.headers())
+        writeLast(response)
     }
 
     /** Answers that the request was not executed and may be sent again after [retryAfter]. */
@@ -204,11 +204,6 @@
         channel.close()
     }
 
-    private fun writeOnly(response: HttpResponse) {
-        markClosing(response.headers())
-        writeLast(response)
-    }
-
     private fun markClosing(headers: HttpHeaders) {
         if (dataPlane.stoppingSince != null) isKeptOpen = false
         if (!isKeptOpen) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -230,8 +225,9 @@
         dataPlane.callerConnections -= this
         exchange?.callerLeft()
         exchange = null
-        incomingBody?.release()
-        incomingBody = null
+        assembler.release()
+        pending?.body?.release()
+        pending = null
         waitingRequests.forEach { it.body.release() }
         waitingRequests.clear()
     }
@@ -249,7 +245,7 @@
             return rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "too-slow")
         }
         val idle = now - lastActiveAt
-        if (hasPartialRequest) {
+        if (assembler.hasPartialRequest) {
             if (idle > limits.headerTimeout) rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "too-slow")
             return
         }
@@ -260,7 +256,6 @@
     }
 
     private companion object {
-        const val MAX_BODY_PARTS = 1_024
         val STOPPING_IDLE_TIMEOUT = Duration.ZERO
 
         /** Longer than the time for which a peer keeps an idle connection for its next request. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -12,6 +12,7 @@
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.overload.EventLoopDelay
 import org.yuccajunction.quarantine.CrashQuarantine
 import org.yuccajunction.quarantine.QuarantineChange
 import org.yuccajunction.quarantine.QuarantineDecision
@@ -37,6 +38,7 @@
     val log: DecisionLog,
     val metrics: TrafficMetrics,
     val clock: SuspensionAwareClock = SuspensionAwareClock(),
+    val loopDelay: EventLoopDelay = EventLoopDelay(),
 ) {
     val random: Random = Random.Default
     private val predictions = PredictionTelemetry(metrics, log)
@@ -59,6 +61,10 @@
     val quarantine = CrashQuarantine(settings.name, ::quarantineDecided, ::reportUrgently)
     val serverEndDetector = ServerEndDetector(this)
     val relays = EntryRelays(this)
+    val admissions = RequestAdmissions(this)
+
+    /** Earliest arrival of the connection that is being accepted, null where it is not known. */
+    var acceptedSince: MonotonicTime? = null
     val environment =
         ForwardEnvironment(
             chooseServer = ::chooseServer,
@@ -131,6 +137,7 @@
 
     /** Replaces the snapshot of the fleet by the one that the control thread published. */
     fun update(fleet: FleetSnapshot) {
+        loopDelay.awoke(now())
         this.fleet = fleet
         loadBalancer.update(fleet, now())
         serverConnections.closeUnlisted(fleet)
@@ -164,6 +171,7 @@
 
     private fun tick() {
         val now = now()
+        loopDelay.awoke(now)
         exchanges.toList().forEach { it.tick(now) }
         isTicking = exchanges.isNotEmpty()
         if (isTicking) scheduleTick()
@@ -172,6 +180,7 @@
     /** Closes connections of callers and backend servers that were idle for too long; called twice a second. */
     fun closeIdleConnections() {
         val now = now()
+        admissions.report()
         storeQuarantineChanges()
         serverConnections.closeIdle(now)
         callerConnections.toList().forEach { it.enforceTimeouts(now) }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -64,6 +64,12 @@
 
     fun stop() = machine.stop()
 
+    /** Ends the exchange if its caller has disconnected or its deadline has passed; returns whether it goes on. */
+    fun isStillWanted(): Boolean {
+        if (!caller.isConnected) callerLeft() else machine.tick(dataPlane.now(), isWaitingForCaller = true)
+        return !machine.isEnded
+    }
+
     fun flush() = caller.flush()
 
     override fun dispatch(attempt: Int, server: BackendServer, lastEventId: String?) {
@@ -77,7 +83,9 @@
         val started = ServerAttempt(this, attempt, server, ticket, now)
         if (!server.isPeerEntry) started.execution = dataPlane.quarantine.beginExecution(request, server.id, now)
         this.attempt = started
-        dataPlane.serverConnections.send(started, outgoing.to(server, lastEventId, now), request.route.mayRepeat)
+        dataPlane.serverConnections.send(started, request.route.mayRepeat) { sentAt ->
+            outgoing.to(server, lastEventId, sentAt)
+        }
     }
 
     /** Handles the [end] of an [attempt] without an answer that can be passed on. */
@@ -183,7 +191,7 @@
         if (machine.isStreaming && !machine.isEnded) return deliverStreamHead()
         val buffered = checkNotNull(answer) { "no answer is buffered for attempt $attempt" }
         val isUnprovenRejection = buffered.status.code() in REJECTION_STATUSES
-        if (isUnprovenRejection) return endWithFailure(FailureCause.OUTCOME_UNKNOWN)
+        if (isUnprovenRejection) return fail(FailureCause.OUTCOME_UNKNOWN)
         caller.writeAnswer(buffered.status, endToEndHeaders(buffered.headers), buffered.body)
         finish("answered-${buffered.status.code()}")
     }
@@ -203,9 +211,7 @@
         finish(cause.code)
     }
 
-    override fun fail(cause: FailureCause) = endWithFailure(cause)
-
-    private fun endWithFailure(cause: FailureCause) {
+    override fun fail(cause: FailureCause) {
         if (machine.isStreaming) caller.abortStream() else caller.writeFailure(cause.status, cause.code)
         finish(cause.code)
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
@@ -77,7 +77,7 @@
             val id = ensureNotNull(head.requestId) { Rejection.Permanent(BAD_REQUEST, "missing-identity") }
             val policy = if (route.isPublic || !configuration.needsKeys) null else workspacePolicy(configuration, head)
             val isChargedByPeer = !isOfPeer && dataPlane.relays.forwardsAll(route)
-            val charge = if (isChargedByPeer) null else policy?.let { chargeQuota(it, head, received) }
+            val charge = if (isChargedByPeer) null else policy?.let { chargeQuota(it, head) }
             Admitted(request(received, route, head, id, policy), charge)
         }
 
@@ -94,10 +94,9 @@
     private fun Raise<Rejection>.chargeQuota(
         policy: WorkspacePolicy,
         head: RequestHead,
-        received: ReceivedRequest,
     ): Exchange.QuotaCharge {
         val amount = policy.charge(head.totalTokens)
-        val isAdmitted = dataPlane.quotas.tryConsume(policy, amount, received.receivedAt)
+        val isAdmitted = dataPlane.quotas.tryConsume(policy, amount, dataPlane.now())
         ensure(isAdmitted) { Rejection.QuotaUsedUp(policy, amount, retryAfter()) }
         return Exchange.QuotaCharge(policy, amount)
     }
@@ -120,8 +119,8 @@
             service = route.destination(dataPlane.random),
             workspace = policy?.id,
             rank = policy?.rank ?: route.rank,
-            receivedAt = received.receivedAt,
-            deadline = received.receivedAt + minOf(head.timeLimit ?: route.timeLimit, route.timeLimit),
+            receivedAt = received.arrivedAt,
+            deadline = received.arrivedAt + minOf(head.timeLimit ?: route.timeLimit, route.timeLimit),
             promptTokens = head.promptTokens,
             answerTokens = head.answerTokens,
             promptParts = head.promptParts,
@@ -131,7 +130,7 @@
         )
 
     private fun exchange(received: ReceivedRequest, caller: CallerConnection, admitted: Admitted): Exchange {
-        dataPlane.retryBudget.recordRequest(admitted.request.service, dataPlane.fleet.entries.size, received.receivedAt)
+        dataPlane.retryBudget.recordRequest(admitted.request.service, dataPlane.fleet.entries.size, dataPlane.now())
         return Exchange(dataPlane, caller, admitted.request, received.head, received.body, admitted.charge)
     }
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.duty.DutyLease
+import org.yuccajunction.overload.EventLoopDelay
 import org.yuccajunction.quarantine.QuarantineReport
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,8 +30,10 @@
     private val log: DecisionLog,
     private val ports: (client: PlatformHttpClient, metrics: TrafficMetrics) -> GatewayPorts,
 ) {
-    private val trafficGroup = group("traffic")
-    private val controlGroup = group("control")
+    private val loopDelay = EventLoopDelay()
+    private val trafficGroup = TrafficLoop.group(loopDelay)
+    private val controlGroup =
+        MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("control", true), NioIoHandler.newFactory())
     private val metrics = TrafficMetrics()
     private val incarnation = System.currentTimeMillis()
 
@@ -46,7 +49,7 @@
         val controlLoop = controlGroup.next()
         val gatewayPorts = ports(PlatformHttpClient(controlLoop), metrics)
         val trafficLoop = trafficGroup.next()
-        dataPlane = DataPlane(settings, gatewayPorts.wire, trafficLoop, log, metrics)
+        dataPlane = DataPlane(settings, gatewayPorts.wire, trafficLoop, log, metrics, loopDelay = loopDelay)
         controlPlane = ControlPlane(dataPlane, gatewayPorts.store, gatewayPorts.source, log)
         peers = PeerGossip(dataPlane, controlPlane, gatewayPorts.store, log, incarnation)
         val scope = CoroutineScope(SupervisorJob() + controlLoop.asCoroutineDispatcher() + exceptionHandler())
@@ -131,9 +134,6 @@
 
     private fun openExchangeCount(): Int = dataPlane.loop.submit<Int> { dataPlane.openExchangeCount }.get()
 
-    private fun group(name: String) =
-        MultiThreadIoEventLoopGroup(1, DefaultThreadFactory(name, true), NioIoHandler.newFactory())
-
     private companion object {
         const val OK = 200
         const val POLL_INTERVAL_MILLIS = 50L
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
@@ -2,8 +2,10 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
@@ -28,13 +30,16 @@
 internal class Listeners(private val group: EventLoopGroup) {
     /** Listens at [endpoint] for requests of callers, or of peers if [isForPeers], which [dataPlane] forwards. */
     fun listenForCallers(endpoint: Endpoint, dataPlane: DataPlane, isForPeers: Boolean = false): Channel =
-        listen(endpoint) { channel ->
+        listen(endpoint, AcceptRecorder(dataPlane)) { channel ->
             val limits = dataPlane.fleet.configuration?.limits ?: CallerLimits()
             val headerBytes = limits.headerBytes + if (isForPeers) PEER_HEADER_BYTES else 0
             val lengths = HttpDecoderConfig().setMaxInitialLineLength(headerBytes).setMaxHeaderSize(headerBytes)
             val decoder = CallerRequestDecoder(lengths, dataPlane::now)
             val connection = CallerConnection(dataPlane, limits, decoder, isForPeers)
             channel.pipeline().addLast(decoder, HttpResponseEncoder(), connection)
+            channel.config().setRecvByteBufAllocator(
+                AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS),
+            )
         }
 
     /** Listens at [endpoint] for requests about the entry itself; [answer] gets the path and query of each. */
@@ -47,9 +52,14 @@
             )
         }
 
-    private fun listen(endpoint: Endpoint, initialize: (SocketChannel) -> Unit): Channel =
+    private fun listen(
+        endpoint: Endpoint,
+        acceptHandler: ChannelHandler? = null,
+        initialize: (SocketChannel) -> Unit,
+    ): Channel =
         ServerBootstrap()
             .group(group)
+            .apply { acceptHandler?.let(::handler) }
             .channel(NioServerSocketChannel::class.java)
             .childHandler(
                 object : ChannelInitializer<SocketChannel>() {
@@ -81,6 +91,12 @@
     }
 
     private companion object {
+        /**
+         * Reads of one connection per turn, so that the largest request is read with the close that may follow it.
+         *
+         * By default, Netty stops at the first read that does not fill its buffer, and a close is seen a turn later.
+         */
+        const val MAX_READS = 128
         const val MAX_SMALL_REQUEST_BYTES = 16_384
 
         /** Bytes that a peer may add to the headers of a request. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -102,6 +102,7 @@
 
     private fun read(message: HttpObject) {
         val current = attempt ?: return close()
+        dataPlane.loopDelay.awoke(dataPlane.now())
         dataPlane.loadBalancer.recordActivity(server.id, dataPlane.now())
         dataPlane.relays.recordContact(server)
         if (message.decoderResult().isFailure) return failAttempt(AttemptEnd.INVALID)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -25,6 +25,7 @@
  */
 internal class ServerConnections(private val dataPlane: DataPlane) {
     private val pools = HashMap<BackendServerId, Pool>()
+    private val pacer = ConnectionPacer { dataPlane.admissions.isLate }
     private val bootstrap =
         Bootstrap()
             .group(dataPlane.loop)
@@ -32,30 +33,53 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 
     /**
-     * Sends [request] for [attempt] on an idle connection or a new one.
+     * Sends the [request] for [attempt] on an idle connection or a new one, unless it is no longer wanted by then.
      *
      * [mayRepeat] says whether the request may be executed more than once; only then may the connection have been idle
      * for longer than [MAX_IDLE_UNREPEATABLE].
      */
-    fun send(attempt: ServerAttempt, request: FullHttpRequest, mayRepeat: Boolean) {
-        val pool = pool(attempt.server)
-        val pooled = pool.takeIdle(dataPlane.now(), mayRepeat)
-        if (pooled != null) return pooled.send(attempt, request)
+    fun send(attempt: ServerAttempt, mayRepeat: Boolean, request: (sentAt: MonotonicTime) -> FullHttpRequest) {
+        val pooled = pool(attempt.server).takeIdle(dataPlane.now(), mayRepeat)
+        if (pooled != null) return sendAfterReads(attempt, pooled, request)
+        pacer.open(isWanted = { !attempt.isOver && attempt.exchange.isStillWanted() }) { open(attempt, request) }
+    }
+
+    private fun open(attempt: ServerAttempt, request: (MonotonicTime) -> FullHttpRequest): ChannelFuture {
         val endpoint = attempt.server.endpoint
         val future = bootstrap.clone().handler(initializer(attempt.server)).connect(endpoint.host, endpoint.port)
         future.addListener { connected(attempt, request, future) }
+        return future
     }
 
     /** Sends [request] on the new connection; ending an attempt that is already over has no effect. */
-    private fun connected(attempt: ServerAttempt, request: FullHttpRequest, future: ChannelFuture) {
+    private fun connected(attempt: ServerAttempt, request: (MonotonicTime) -> FullHttpRequest, future: ChannelFuture) {
+        dataPlane.loopDelay.awoke(dataPlane.now())
         recordOutcome(attempt.server, future)
         if (outcomeOf(future) == ProbeOutcome.REFUSED) dataPlane.serverEndDetector.connectionRefused(attempt.server)
-        if (!future.isSuccess || attempt.isOver || isHeldBack(attempt.server)) {
-            request.release()
-            if (future.isSuccess) returnToPool(future.channel().pipeline().get(ServerConnection::class.java))
-            return attempt.end(AttemptEnd.UNREACHABLE)
+        if (!future.isSuccess) return attempt.end(AttemptEnd.UNREACHABLE)
+        sendAfterReads(attempt, future.channel().pipeline().get(ServerConnection::class.java), request)
+    }
+
+    /**
+     * Sends [request] on [connection] once the sockets that are ready have been read.
+     *
+     * Among them may be that of the caller, who has disconnected, or that of the server, which has closed [connection].
+     */
+    private fun sendAfterReads(
+        attempt: ServerAttempt,
+        connection: ServerConnection,
+        request: (sentAt: MonotonicTime) -> FullHttpRequest,
+    ) {
+        dataPlane.loop.execute {
+            when {
+                attempt.isOver || !attempt.exchange.isStillWanted() -> returnToPool(connection)
+                isHeldBack(attempt.server) -> {
+                    returnToPool(connection)
+                    attempt.end(AttemptEnd.UNREACHABLE)
+                }
+                else -> connection.send(attempt, request(dataPlane.now()))
+            }
         }
-        future.channel().pipeline().get(ServerConnection::class.java).send(attempt, request)
     }
 
     /** Returns whether [server] has asked for no requests since one was to be sent there on a new connection. */
@@ -97,6 +121,7 @@
 
     /** Returns [connection], which is in a known state and carries no request, to its server's pool. */
     fun returnToPool(connection: ServerConnection) {
+        if (!connection.isOpen) return
         val pool = pools[connection.server.id]
         if (pool == null || !pool.server.isSameIncarnation(connection.server)) return connection.close()
         connection.idleSince = dataPlane.now()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
@@ -10,6 +10,12 @@
 /** Records latency histograms and counters of forwarded requests, and counters of calls to the platform's store. */
 public class TrafficMetrics {
     private val registry by lazy { PrometheusMeterRegistry(PrometheusConfig.DEFAULT) }
+    private val loopDelay by lazy {
+        Timer
+            .builder("yuccajunction.entry.loop.delay")
+            .serviceLevelObjectives(*LOOP_DELAY_BUCKETS)
+            .register(registry)
+    }
     private val timers = HashMap<Triple<String, String, String>, Timer>()
     private val predictions = HashMap<String, DistributionSummary>()
 
@@ -25,6 +31,16 @@
         registry.counter("yuccajunction.forward.attempts", "end", end).increment()
     }
 
+    /** Counts a request that was rejected or dropped by [cause], because the event loop of this entry is late. */
+    public fun overloadRejected(cause: String) {
+        registry.counter("yuccajunction.entry.rejections", "cause", cause).increment()
+    }
+
+    /** Records that the event loop is late by [nanos] nanoseconds as it admits requests. */
+    public fun loopDelayed(nanos: Long) {
+        loopDelay.record(nanos, TimeUnit.NANOSECONDS)
+    }
+
     /** Counts a call to the platform's store that ended with [outcome]. */
     public fun storeCallEnded(outcome: String) {
         registry.counter("yuccajunction.store.calls", "outcome", outcome).increment()
@@ -53,6 +69,8 @@
             .register(registry)
 
     private companion object {
+        val LOOP_DELAY_BUCKETS =
+            longArrayOf(1, 3, 10, 30, 100, 300, 1_000).map { Duration.ofMillis(it) }.toTypedArray()
         val RATIO_BUCKETS = doubleArrayOf(0.25, 0.5, 0.8, 1.0, 1.25, 2.0, 4.0)
 
         val LATENCY_BUCKETS: Array<Duration> =
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/WireProtocol.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/WireProtocol.kt
@@ -9,6 +9,9 @@
     /** Parses the headers of a caller's request. */
     public fun readRequest(headers: HttpHeaders): RequestHead
 
+    /** Parses only the time that a caller has left; null where the request does not give it. */
+    public fun readTimeLimit(headers: HttpHeaders): Duration?
+
     /** Returns whether the header [name] of a caller's request is forwarded unchanged to the backend server. */
     public fun isForwarded(name: String): Boolean
 
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -1,7 +1,5 @@
 package org.yuccajunction.gateway
 
-import io.netty.channel.MultiThreadIoEventLoopGroup
-import io.netty.channel.nio.NioIoHandler
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
@@ -21,6 +19,7 @@
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
 import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.overload.EventLoopDelay
 import java.io.Closeable
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -33,7 +32,8 @@
 /** Runs the data plane of one entry on loopback, in front of the scripted [servers] and one of another service. */
 class GatewayFixture(private vararg val servers: ScriptedServer, private val otherServer: ScriptedServer? = null) :
     Closeable {
-    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loopDelay = EventLoopDelay()
+    private val group = TrafficLoop.group(loopDelay)
     private val loopback = InetAddress.getLoopbackAddress().hostAddress
     private val service = ServiceName("service")
     private val anyPort = Endpoint(loopback, 0)
@@ -46,7 +46,7 @@
 
     private val clock = SuspensionAwareClock(wallMillis = { System.currentTimeMillis() + suspendedMillis })
     internal val dataPlane =
-        DataPlane(settings, TestWire(), group.next(), DecisionLog("test"), TrafficMetrics(), clock)
+        DataPlane(settings, TestWire(), group.next(), DecisionLog("test"), TrafficMetrics(), clock, loopDelay)
     private val port: Int
     private val peerPort: Int
 
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
@@ -19,6 +19,8 @@
             promptParts = headers.get("parts")?.split(',').orEmpty().map { PromptPart(it, 10) }.toPersistentList(),
         )
 
+    override fun readTimeLimit(headers: HttpHeaders): Duration? = headers.get("limit")?.toInt()?.milliseconds
+
     override fun isForwarded(name: String): Boolean = name.lowercase() !in setOf("key", "limit", "server")
 
     override fun writeInstructions(headers: HttpHeaders, instructions: ServerInstructions) {
