Do not reuse a connection after an answer that names no request

A server may send a second copy of an answer, late, when the next request has been sent on the connection. A copy that names its request is skipped. Such a connection is now closed after the answer. Connections to peers are kept: a peer sends no copies.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -14,6 +14,7 @@
 import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.model.MonotonicTime
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -116,7 +117,7 @@
         head.keepAliveSeconds?.let { serverKeepAlive = it.seconds }
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
         if (!head.isMisplaced && !server.isPeerEntry) recordNotices(head)
-        if (isForAnotherRequest || head.closesConnection) isStateUncertain = true
+        if (isForAnotherRequest || leavesUncertain(head)) isStateUncertain = true
         val isSkipped = isForAnotherRequest || head.status < OK
         answer = if (isSkipped) null else AnswerReader(current, response, head)
         if (!isSkipped) return
@@ -124,6 +125,14 @@
         if (skippedAnswers > MAX_SKIPPED_ANSWERS) failAttempt(AttemptEnd.INVALID)
     }
 
+    /**
+     * Returns whether the connection must not be used again after the answer with [head].
+     *
+     * A second copy of an answer without identity, which may come late, would count for the next request.
+     */
+    private fun leavesUncertain(head: AnswerHead): Boolean =
+        head.closesConnection || head.requestId == null && head.status >= OK && !server.isPeerEntry
+
     /** Records what the server says of the requests that it takes, in an answer to whichever request. */
     private fun recordNotices(head: AnswerHead) {
         recordLimit(head)
@@ -208,6 +217,12 @@
     @Deprecated("Netty deprecates this method, but its pipeline still calls it.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         hasConnectionError = true
+        if (cause !is IOException) {
+            dataPlane.log.write(LogEvent.REQUEST_HANDLING_FAILED) {
+                field("server", server.id)
+                field("detail", cause)
+            }
+        }
         if (answer?.isCloseDelimited != true) failAttempt(AttemptEnd.BROKEN)
         close()
     }
