Judge streams by the pace of their events

A stream whose events came up to 0.9 s apart was moved to another server, as its server had sent nothing for longer than the silence timeout. A stalled stream whose server sent single bytes went on until its time limit, as any byte counted. A stream is now left alone within three times its own longest interval, and moved after six times that, 2 s at least. Time in which the caller takes nothing does not count.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -32,6 +32,9 @@
 
     /** Whether the current attempt has brought an event of a stream. */
     private var hasEvents = false
+
+    /** Pace of the events of the current attempt, where each whole event is recorded, also one sent before. */
+    public val progress: StreamProgress = StreamProgress()
     private val executions = RequestExecutions(request.route.maxExecutions, environment.isGone)
 
     /** Number of the current or the last attempt; 0 before the first. */
@@ -140,6 +143,7 @@
      */
     public fun tick(now: MonotonicTime, isWaitingForCaller: Boolean = false) {
         if (isEnded) return
+        if (isWaitingForCaller) progress.heldUp(now)
         when {
             now >= request.deadline -> endAtDeadline()
             isWaiting -> tryNextServer(now)?.let(::endRequest)
@@ -162,7 +166,9 @@
     /** Returns whether the current attempt is silent or slow, for a request that may be executed again. */
     private fun isOverdue(current: BackendServer, now: MonotonicTime): Boolean {
         if (!request.route.mayRepeat) return false
-        if (environment.isSilent(current.id, dispatchedAt, now)) return true
+        val since = progress.heldUpUntil ?: dispatchedAt
+        val isSilent = environment.isSilent(current.id, since, now) && !progress.isWithinOwnPace(now)
+        if (isSilent || request.route.isStream && progress.isStalled(now)) return true
         if (current.isPeerEntry) return false
         return !request.route.isStream && now - dispatchedAt >= request.route.latencyTarget * SLOW_ANSWER_FRACTION
     }
@@ -226,6 +232,7 @@
     private fun dispatch(to: BackendServer, now: MonotonicTime) {
         attempt += 1
         hasEvents = false
+        progress.restart()
         server = to
         dispatchedAt = now
         actions.dispatch(attempt, to, lastEventId)
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/forward/ForwardMachineTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/forward/ForwardMachineTest.kt
@@ -104,6 +104,21 @@
         assertEquals(listOf("dispatch 1 to a", "cancel 1", "dispatch 2 to b"), fixture.actions)
     }
 
+    /** Guards against slow but healthy streams that are cut off, and against the same for slow callers. */
+    @Test
+    fun `a stream within its own pace does not move, one whose caller takes nothing neither`() {
+        val fixture = ForwardFixture(isStream = true).start()
+        fixture.machine.streamStarted(1)
+        fixture.machine.progress.eventReceived(fixture.now)
+        fixture.elapse(200)
+        fixture.machine.progress.eventReceived(fixture.now)
+        fixture.isSilent = true
+        fixture.elapse(400)
+        assertEquals(listOf("dispatch 1 to a", "deliver 1"), fixture.actions)
+        fixture.elapse(240)
+        assertEquals(listOf("dispatch 1 to a", "deliver 1", "cancel 1", "dispatch 2 to b"), fixture.actions)
+    }
+
     @Test
     fun `a request that may have been executed fails at the deadline`() {
         val fixture = ForwardFixture(mayRepeat = false).start().elapse(1_000)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -141,6 +141,8 @@
         }
         streamHead = streamHead ?: response
         machine.streamStarted(attempt.number)
+        // Comments, which only keep a connection open, have no identity; they are no progress of a stream that has any.
+        if (event.id != null || lastEventNumber == Long.MIN_VALUE) machine.progress.eventReceived(dataPlane.now())
         val number = event.id?.toLongOrNull()
         if (number != null && number <= lastEventNumber) return event.release()
         if (number != null) lastEventNumber = number
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -27,11 +27,15 @@
 import java.net.SocketException
 import java.net.SocketTimeoutException
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs the data plane of one entry on loopback, in front of the scripted [servers] and one of another service. */
-class GatewayFixture(private vararg val servers: ScriptedServer, private val otherServer: ScriptedServer? = null) :
-    Closeable {
+class GatewayFixture(
+    private vararg val servers: ScriptedServer,
+    private val otherServer: ScriptedServer? = null,
+    private val timeLimit: Duration = TIME_LIMIT,
+) : Closeable {
     private val loopDelay = EventLoopDelay()
     private val group = TrafficLoop.group(loopDelay)
     private val loopback = InetAddress.getLoopbackAddress().hostAddress
@@ -127,8 +131,8 @@
             destinations = persistentListOf(Destination(service)),
             isStream = isStream,
             mayRepeat = mayRepeat,
-            timeLimit = TIME_LIMIT,
-            latencyTarget = TIME_LIMIT,
+            timeLimit = timeLimit,
+            latencyTarget = timeLimit,
             maxExecutions = 2,
         )
 
@@ -156,7 +160,8 @@
         fun request(path: String, body: String? = null, headers: String = "key: key-1\r\n", id: String = "r1"): String {
             val method = if (body == null) "GET" else "POST"
             val length = if (body == null) "" else "content-length: ${body.length}\r\n"
-            return "$method $path HTTP/1.1\r\nhost: host\r\nid: $id\r\nlimit: 1500\r\n$headers$length" +
+            val limit = if ("limit:" in headers) "" else "limit: 1500\r\n"
+            return "$method $path HTTP/1.1\r\nhost: host\r\nid: $id\r\n$limit$headers$length" +
                 "connection: close\r\n\r\n${body.orEmpty()}"
         }
 
