Keep going after malformed messages and unexpected errors

- An exception in the tick of one request ended the ticks, and so the time limits, of all requests.
- A heartbeat that failed kept the others of its batch from being accepted; an address that failed kept the heartbeat from all other peers.
- Negative, huge and undefined numbers of heartbeats are left out; a confirmation in the future is ignored.
- An object of the store whose decoding fails by an unexpected exception is skipped.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -127,5 +127,9 @@
         LogLevel.WARN,
         "This entry could not register or read the other entries' registrations; it retries.",
     ),
-    CONTROL_TASK_FAILED(9015, LogLevel.ERROR, "A task of the control thread has failed and was not restarted."),
+    CONTROL_TASK_FAILED(
+        9015,
+        LogLevel.ERROR,
+        "A task of the control thread has failed; a repeating task is started again.",
+    ),
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -24,6 +24,7 @@
 import org.yuccajunction.forward.CallerLimits
 import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.model.MonotonicTime
+import java.io.IOException
 import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -234,6 +235,9 @@
 
     @Deprecated("Netty deprecates this method, but its pipeline still calls it.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause !is IOException) {
+            dataPlane.log.write(LogEvent.REQUEST_HANDLING_FAILED) { field("detail", cause) }
+        }
         channel.close()
     }
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Confirmations.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Confirmations.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.yuccajunction.entries.ConfirmationAnswer
 import org.yuccajunction.entries.ConfirmationQuestion
 import org.yuccajunction.entries.ConfirmationSourceSelector
@@ -27,7 +26,7 @@
     fun start(scope: CoroutineScope) {
         peers.answerQuestion = ::answerQuestion
         peers.acceptAnswer = ::acceptAnswer
-        scope.launch {
+        scope.launchRestarting(dataPlane.log, "confirmations") {
             while (true) {
                 delay(INTERVAL * Random.nextDouble(MIN_JITTER, MAX_JITTER))
                 askNext()
@@ -50,6 +49,8 @@
     }
 
     private fun acceptAnswer(answer: ConfirmationAnswer) {
+        // A confirmation in the future would let keys count as confirmed after they were taken away.
+        if (answer.confirmationAgeMillis < 0 || answer.confirmedAt() > dataPlane.clock.now()) return
         val now = dataPlane.now()
         val behind = controlPlane.kindsBehind(answer.newestVersions)
         behindSince.keys.retainAll(behind.keys)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.fleet.ServerList
@@ -75,9 +74,11 @@
     val isStoreAvailable: Boolean get() = health.isAvailable.value
 
     fun start(scope: CoroutineScope) {
-        followers().forEach { follower -> scope.launch { follower.follow() } }
-        scope.launch { watchHealth() }
-        scope.launch { runHousekeeping() }
+        followers().forEach { follower ->
+            scope.launchRestarting(log, "follower of ${follower.kind}") { follower.follow() }
+        }
+        scope.launchRestarting(log, "health") { watchHealth() }
+        scope.launchRestarting(log, "housekeeping") { runHousekeeping() }
     }
 
     private fun followers() = listOf(configurationFollower, serverFollower, drainFollower, rolloutFollower)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.gateway
 
 import io.netty.channel.EventLoop
+import org.yuccajunction.control.LogEvent
 import org.yuccajunction.entries.EntryHeartbeat
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.fleet.LoadBalancer
@@ -172,7 +173,10 @@
     private fun tick() {
         val now = now()
         loopDelay.awoke(now)
-        exchanges.toList().forEach { it.tick(now) }
+        for (exchange in exchanges.toList()) {
+            val isDone = log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "tick") { exchange.tick(now) }
+            if (!isDone) log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "end") { exchange.stop() }
+        }
         isTicking = exchanges.isNotEmpty()
         if (isTicking) scheduleTick()
     }
@@ -183,7 +187,9 @@
         admissions.report()
         storeQuarantineChanges()
         serverConnections.closeIdle(now)
-        callerConnections.toList().forEach { it.enforceTimeouts(now) }
+        callerConnections.toList().forEach { connection ->
+            log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "timeouts") { connection.enforceTimeouts(now) }
+        }
     }
 
     /** Begins a graceful stop: each answer closes its connection, and late requests are rejected. */
@@ -244,31 +250,35 @@
         loadBalancer.brittleServers.retainPeers(live)
         relays.acceptHeartbeats(heartbeats, live)
         for (heartbeat in heartbeats) {
-            loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
-            heartbeat.quarantine.ends.forEach {
-                loadBalancer.notices.recordEnded(it.incarnation, now - it.ageMillis.milliseconds)
-                serverEndDetector.peerReportedEnd(it.incarnation)
-            }
-            quarantine.recordPeer(heartbeat.quarantine, now)
-            loadBalancer.brittleServers.recordPeer(
-                heartbeat.name,
-                heartbeat.brittleServices.mapKeys { ServiceName(it.key) },
-            )
-            heartbeat.rejectionAgesMillis.forEach { (service, age) ->
-                loadBalancer.brittleServers.recordRejection(ServiceName(service), now - age.milliseconds)
-            }
-            loadBalancer.requestLimits.recordPeer(
-                heartbeat.name,
-                heartbeat.requestLimits.mapKeys { BackendServerId(it.key) },
-                heartbeat.liftedLimits.mapTo(HashSet()) { BackendServerId(it) },
-            )
-            quotas.recordPeerUsage(
-                heartbeat.name,
-                heartbeat.incarnation,
-                heartbeat.admitted.mapKeys { WorkspaceId(it.key) },
-                now,
-            )
+            log.runGuarded(LogEvent.CONTROL_TASK_FAILED, "heartbeat of ${heartbeat.name}") { accept(heartbeat, now) }
+        }
+    }
+
+    private fun accept(heartbeat: EntryHeartbeat, now: MonotonicTime) {
+        loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
+        heartbeat.quarantine.ends.forEach {
+            loadBalancer.notices.recordEnded(it.incarnation, now - it.ageMillis.milliseconds)
+            serverEndDetector.peerReportedEnd(it.incarnation)
         }
+        quarantine.recordPeer(heartbeat.quarantine, now)
+        loadBalancer.brittleServers.recordPeer(
+            heartbeat.name,
+            heartbeat.brittleServices.mapKeys { ServiceName(it.key) },
+        )
+        heartbeat.rejectionAgesMillis.forEach { (service, age) ->
+            loadBalancer.brittleServers.recordRejection(ServiceName(service), now - age.milliseconds)
+        }
+        loadBalancer.requestLimits.recordPeer(
+            heartbeat.name,
+            heartbeat.requestLimits.mapKeys { BackendServerId(it.key) },
+            heartbeat.liftedLimits.mapTo(HashSet()) { BackendServerId(it) },
+        )
+        quotas.recordPeerUsage(
+            heartbeat.name,
+            heartbeat.incarnation,
+            heartbeat.admitted.mapKeys { WorkspaceId(it.key) },
+            now,
+        )
     }
 
     private companion object {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.duty.CapacityOrder
 import org.yuccajunction.duty.CapacityOrderPlanner
@@ -41,7 +40,7 @@
     private val startedAtMillis = System.currentTimeMillis()
 
     fun start(scope: CoroutineScope) {
-        scope.launch {
+        scope.launchRestarting(log, "duties") {
             while (true) {
                 delay(DUTY_INTERVAL)
                 if (controlPlane.isReady()) performDuties()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
@@ -24,6 +23,7 @@
 import org.yuccajunction.entries.EntryHeartbeat
 import org.yuccajunction.entries.EntryMessage
 import org.yuccajunction.entries.PeerTable
+import org.yuccajunction.entries.withPlausibleValues
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
@@ -86,8 +86,8 @@
                 .bind(settings.peerEndpoint.host, settings.peerEndpoint.port)
                 .syncUninterruptibly()
                 .channel()
-        scope.launch { register() }
-        scope.launch { sendHeartbeatsRepeatedly() }
+        scope.launchRestarting(log, "registration") { register() }
+        scope.launchRestarting(log, "heartbeats") { sendHeartbeatsRepeatedly() }
     }
 
     /**
@@ -197,11 +197,15 @@
     private fun sendMessage(message: EntryMessage, targets: Collection<String>) {
         val bytes = ProtoBuf.encodeToByteArray(EntryDatagram(message))
         for (target in targets) {
-            val endpoint = Endpoint.parse(target) ?: continue
-            writeDatagram(bytes, InetSocketAddress(endpoint.host, endpoint.port))
+            log.runGuarded(LogEvent.CONTROL_TASK_FAILED, "heartbeat to $target") { sendTo(target, bytes) }
         }
     }
 
+    private fun sendTo(target: String, bytes: ByteArray) {
+        val endpoint = Endpoint.parse(target) ?: return
+        writeDatagram(bytes, InetSocketAddress(endpoint.host, endpoint.port))
+    }
+
     /** Sends [question] to the peer [name]; the question or its answer may get lost. */
     fun askForConfirmation(name: String, question: ConfirmationQuestion) {
         val endpoint = table.peerAddress(name)?.let(Endpoint::parse) ?: return
@@ -257,12 +261,13 @@
 
     private fun acceptMessage(message: EntryMessage) {
         val now = dataPlane.now()
+        val heartbeat = message.heartbeat.withPlausibleValues()
         table.recordHeartbeatCounters(message.heartbeatCounters, now)
-        message.membershipUpdates.forEach { table.recordMembershipUpdate(it, now) }
-        if (!table.recordHeartbeat(message.heartbeat, now)) return
-        usageTotals.replaceCounts("${message.heartbeat.name}/${message.heartbeat.incarnation}", message.usage)
-        newHeartbeats += message.heartbeat
-        if (message.heartbeat.quarantine.hasFreshEvidence) handOverHeartbeats()
+        message.membershipUpdates.forEach { table.recordMembershipUpdate(it.withPlausibleValues(), now) }
+        if (!table.recordHeartbeat(heartbeat, now)) return
+        usageTotals.replaceCounts("${heartbeat.name}/${heartbeat.incarnation}", message.usage)
+        newHeartbeats += heartbeat
+        if (heartbeat.quarantine.hasFreshEvidence) handOverHeartbeats()
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmissions.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmissions.kt
@@ -89,19 +89,18 @@
 
     private fun perform(step: AdmissionStep<PendingRequest>) {
         val caller = step.request.value.caller
-        try {
-            when (step) {
-                is AdmissionStep.Admit -> caller.admitPending()
-                is AdmissionStep.Reject -> {
-                    telemetry.rejected(step.cause)
-                    caller.rejectPending(step.retryAfter)
+        // One request that can't be handled must not take those behind it along.
+        val isDone =
+            dataPlane.log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "admission") {
+                when (step) {
+                    is AdmissionStep.Admit -> caller.admitPending()
+                    is AdmissionStep.Reject -> {
+                        telemetry.rejected(step.cause)
+                        caller.rejectPending(step.retryAfter)
+                    }
                 }
             }
-        } catch (@Suppress("TooGenericExceptionCaught") failure: Exception) {
-            // One request that can't be handled must not take those behind it along.
-            dataPlane.log.write(LogEvent.REQUEST_HANDLING_FAILED) { field("detail", failure) }
-            caller.close()
-        }
+        if (!isDone) caller.close()
     }
 
     /** Writes what was rejected since the last call; called at most twice a second. */
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Rollouts.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Rollouts.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.OpenAttempts
@@ -45,7 +44,7 @@
     private var loggedVetoes: Set<VersionVeto> = emptySet()
 
     fun start(scope: CoroutineScope) {
-        scope.launch {
+        scope.launchRestarting(log, "rollouts") {
             while (true) {
                 val isActive = moves.needsTicks(controlPlane.now())
                 if (isActive) advance()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreFollower.kt
@@ -64,6 +64,8 @@
     }
 
     suspend fun follow() {
+        // After a failure, the changes that the last call returned may not have been taken in.
+        version = null
         while (true) {
             if (!isHealthProbe) health.awaitAvailable()
             followOnce()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoredObjectDecoding.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoredObjectDecoding.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.gateway
 
 import arrow.core.Either
+import arrow.core.left
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.port.StoredObject
 
@@ -9,7 +10,7 @@
     stored: StoredObject,
     decode: (StoredObject) -> Either<String, T>,
 ): T? =
-    when (val decoded = decode(stored)) {
+    when (val decoded = Either.catch { decode(stored) }.fold({ it.toString().left() }, { it })) {
         is Either.Right -> decoded.value
         is Either.Left -> {
             write(LogEvent.OBJECT_UNREADABLE) {
