Answer accepted requests during a graceful stop

An answer during a stop ended its connection, and requests that the caller had pipelined on it got no answer; they are answered now, and the last answer ends the connection. The stop waits for requests that wait for admission or are not read to their end, not only for forwarded ones. A connection that ends during a stop is closed for writing first, so that unread bytes cause no reset. A connection that is accepted long after a full read of the accept queue no longer counts as old.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/overload/AdmissionQueue.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/overload/AdmissionQueue.kt
@@ -45,6 +45,14 @@
         added.retainAll { isWanted(it.value) }
     }
 
+    /** Removes and returns all held requests; called between turns. */
+    public fun removeAll(): List<T> {
+        val all = (held + added).map { it.value }
+        held.clear()
+        added.clear()
+        return all
+    }
+
     /** Begins a turn at [now] of an event loop that is late by [delay]. */
     public fun beginTurn(now: MonotonicTime, delay: Duration) {
         this.delay = delay
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AcceptRecorder.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AcceptRecorder.kt
@@ -6,18 +6,21 @@
 
 /** Tells [dataPlane] how long each connection that a listening socket accepts may have waited. */
 internal class AcceptRecorder(private val dataPlane: DataPlane) : ChannelInboundHandlerAdapter() {
-    private val age = AcceptQueueAge(ACCEPTS_PER_TURN)
+    private val age = AcceptQueueAge(dataPlane.loopDelay, ACCEPTS_PER_TURN)
+
+    /** Whether more connections may wait in the accept queue. */
+    val mayHaveMore: Boolean get() = age.mayHaveMore
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val now = dataPlane.now()
         dataPlane.loopDelay.awoke(now)
-        dataPlane.acceptedSince = age.accepted(dataPlane.loopDelay.earliestArrival(now))
+        dataPlane.acceptedSince = age.accepted(now)
         context.fireChannelRead(message)
         dataPlane.acceptedSince = null
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        age.turnEnded(dataPlane.loopDelay.earliestArrival(dataPlane.now()))
+        age.turnEnded(dataPlane.now())
         context.fireChannelReadComplete()
     }
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -27,6 +27,7 @@
 import java.io.IOException
 import java.util.Locale
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -56,6 +57,13 @@
     private var acceptedInTurn = dataPlane.loopDelay.turn
     private val acceptedSince = dataPlane.acceptedSince
 
+    /** Whether no more requests are read, since the last answer has announced the end of the connection. */
+    private var isClosing = false
+
+    /** Whether the caller has sent a request, or a part of one, that is not yet answered. */
+    val hasOpenRequest: Boolean
+        get() = !isClosing && (isAnswering || waitingRequests.isNotEmpty() || assembler.hasPartialRequest)
+
     /** Whether the caller is still there, as far as is known. */
     val isConnected: Boolean get() = channel.isActive
 
@@ -73,6 +81,7 @@
     }
 
     private fun read(message: HttpObject) {
+        if (isClosing) return
         lastActiveAt = dataPlane.now()
         dataPlane.loopDelay.awoke(lastActiveAt)
         when (val outcome = assembler.add(message)) {
@@ -206,7 +215,8 @@
     }
 
     private fun markClosing(headers: HttpHeaders) {
-        if (dataPlane.stoppingSince != null) isKeptOpen = false
+        // Requests that the caller has sent already are answered on this connection.
+        if (dataPlane.stoppingSince != null && waitingRequests.isEmpty()) isKeptOpen = false
         if (!isKeptOpen) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
@@ -216,7 +226,9 @@
         lastActiveAt = dataPlane.now()
         val written = channel.writeAndFlush(message)
         if (!isKeptOpen) {
-            written.addListener(ChannelFutureListener.CLOSE)
+            isClosing = dataPlane.stoppingSince != null
+            // A close while bytes of the caller are unread is a reset, which may destroy the answer on its way.
+            written.addListener { if (isClosing) (channel as SocketChannel).shutdownOutput() else channel.close() }
             return
         }
         admitNext()
@@ -243,6 +255,7 @@
 
     /** Closes the connection where the caller sends a request too slowly or has been idle for too long. */
     fun enforceTimeouts(now: MonotonicTime) {
+        if (isClosing && now - lastActiveAt > CLOSING_TIMEOUT) channel.close()
         if (isAnswering || waitingRequests.isNotEmpty()) return
         val partialHeadSince = decoder.partialHeadSince
         if (partialHeadSince != null && now - partialHeadSince > limits.headerTimeout) {
@@ -262,6 +275,9 @@
     private companion object {
         val STOPPING_IDLE_TIMEOUT = Duration.ZERO
 
+        /** Time for the caller to close its side of a connection whose end was announced. */
+        val CLOSING_TIMEOUT = 500.milliseconds
+
         /** Longer than the time for which a peer keeps an idle connection for its next request. */
         val PEER_IDLE_TIMEOUT = 30.seconds
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -96,6 +96,9 @@
 
     val openExchangeCount: Int get() = exchanges.size
 
+    /** Whether requests that callers have sent are not yet answered, those included that wait for their admission. */
+    val hasOpenRequests: Boolean get() = exchanges.isNotEmpty() || callerConnections.any { it.hasOpenRequest }
+
     fun now(): MonotonicTime = MonotonicTime(System.nanoTime())
 
     private fun chooseServer(query: ServerQuery, now: MonotonicTime): ServerChoice =
@@ -203,6 +206,7 @@
 
     /** Ends all open exchanges, because the process is about to exit. */
     fun abort() {
+        admissions.rejectAll()
         exchanges.toList().forEach { it.stop() }
     }
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package org.yuccajunction.gateway
 
+import io.netty.channel.Channel
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.concurrent.DefaultThreadFactory
@@ -44,6 +45,9 @@
     private lateinit var controlPlane: ControlPlane
     private lateinit var peers: PeerGossip
 
+    @Volatile
+    private var trafficListeners: List<Channel> = emptyList()
+
     /** Opens all sockets and begins to follow the store and to exchange heartbeats with peers. */
     public fun start(answers: GatewayAnswers) {
         val controlLoop = controlGroup.next()
@@ -89,8 +93,12 @@
     }
 
     private fun listen(answers: GatewayAnswers) {
-        Listeners(trafficGroup).listenForCallers(settings.callerEndpoint, dataPlane)
-        Listeners(trafficGroup).listenForCallers(settings.peerEndpoint, dataPlane, isForPeers = true)
+        val traffic = Listeners(trafficGroup)
+        trafficListeners =
+            listOf(
+                traffic.listenForCallers(settings.callerEndpoint, dataPlane),
+                traffic.listenForCallers(settings.peerEndpoint, dataPlane, isForPeers = true),
+            )
         val listeners = Listeners(controlGroup)
         listeners.listenForSmallRequests(settings.readinessEndpoint) { answers.readiness(it, controlPlane.isReady()) }
         listeners.listenForSmallRequests(settings.addressEndpoint) { answers.addresses(it, callerAddresses()) }
@@ -124,15 +132,22 @@
         controlGroup.execute { peers.exchangeHeartbeats(isBroadcast = true) }
         val startedAt = System.nanoTime()
         val longestWait = settings.bounds.stopGracePeriod - ABORT_MARGIN
-        while (true) {
+        fun passed() = (System.nanoTime() - startedAt).nanoseconds
+        while (passed() < longestWait && (passed() < MIN_STOP_DURATION || hasOpenRequests())) {
             Thread.sleep(POLL_INTERVAL_MILLIS)
-            val passed = (System.nanoTime() - startedAt).nanoseconds
-            if (passed >= longestWait || passed >= MIN_STOP_DURATION && openExchangeCount() == 0) break
         }
+        // Connections that were accepted until now get an answer, too.
+        dataPlane.loop.execute { trafficListeners.forEach(Listeners(trafficGroup)::closeWhenEmpty) }
+        Thread.sleep(POLL_INTERVAL_MILLIS)
+        while (passed() < longestWait && hasOpenRequests()) Thread.sleep(POLL_INTERVAL_MILLIS)
         dataPlane.loop.submit(dataPlane::abort).await(POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    private fun openExchangeCount(): Int = dataPlane.loop.submit<Int> { dataPlane.openExchangeCount }.get()
+    /** Returns whether requests are open; a traffic thread that does not answer soon counts as busy. */
+    private fun hasOpenRequests(): Boolean {
+        val asked = dataPlane.loop.submit<Boolean> { dataPlane.hasOpenRequests }
+        return !asked.await(POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS) || asked.now != false
+    }
 
     private companion object {
         const val OK = 200
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import org.yuccajunction.forward.CallerLimits
 import org.yuccajunction.model.Endpoint
+import java.util.concurrent.TimeUnit
 
 /** Opens the listening TCP sockets of an entry on the event loops of [group]. */
 internal class Listeners(private val group: EventLoopGroup) {
@@ -42,6 +43,17 @@
             )
         }
 
+    /** Closes the listening socket [channel] once no connection waits to be accepted, which a close would reset. */
+    fun closeWhenEmpty(channel: Channel) {
+        val recorder = channel.pipeline().get(AcceptRecorder::class.java)
+        // Unlike a task, a timer that is due runs after the sockets were polled again.
+        channel.eventLoop().schedule(
+            { if (recorder?.mayHaveMore == true) closeWhenEmpty(channel) else channel.close() },
+            0,
+            TimeUnit.NANOSECONDS,
+        )
+    }
+
     /** Listens at [endpoint] for requests about the entry itself; [answer] gets the path and query of each. */
     fun listenForSmallRequests(endpoint: Endpoint, answer: (uri: String) -> SmallAnswer): Channel =
         listen(endpoint) { channel ->
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmissions.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmissions.kt
@@ -103,11 +103,19 @@
         if (!isDone) caller.close()
     }
 
+    /** Rejects all requests that wait, because the process is about to exit. */
+    fun rejectAll() {
+        queue.removeAll().forEach { it.caller.rejectPending(STOPPED_RETRY_AFTER) }
+    }
+
     /** Writes what was rejected since the last call; called at most twice a second. */
     fun report() = telemetry.report(dataPlane.now())
 
     private companion object {
         /** Time limit and latency target of a request whose route is unknown; its answer needs no server. */
         val UNKNOWN_ROUTE_LIMIT: Duration = 1.seconds
+
+        /** Callers may go to another entry at once. */
+        val STOPPED_RETRY_AFTER: Duration = Duration.ZERO
     }
 }
