--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.launch
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.fleet.ServerList
@@ -85,10 +84,12 @@
     val isStoreAvailable: Boolean get() = health.isAvailable.value
 
     fun start(scope: CoroutineScope) {
-        followers().forEach { follower -> scope.launch { follower.follow() } }
-        scope.launch { watchHealth() }
-        scope.launch { watchEra() }
-        scope.launch { runHousekeeping() }
+        followers().forEach { follower ->
+            scope.launchRestarting(log, "follower of ${follower.kind}") { follower.follow() }
+        }
+        scope.launchRestarting(log, "health") { watchHealth() }
+        scope.launchRestarting(log, "era of the store") { watchEra() }
+        scope.launchRestarting(log, "housekeeping") { runHousekeeping() }
     }
 
     private fun followers() = listOf(configurationFollower, serverFollower, drainFollower, rolloutFollower)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmissions.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAdmissions.kt
@@ -89,19 +89,23 @@
 
     private fun perform(step: AdmissionStep<PendingRequest>) {
         val caller = step.request.value.caller
-        try {
-            when (step) {
-                is AdmissionStep.Admit -> caller.admitPending()
-                is AdmissionStep.Reject -> {
-                    telemetry.rejected(step.cause)
-                    caller.rejectPending(step.retryAfter)
+        // One request that can't be handled must not take those behind it along.
+        val isDone =
+            dataPlane.log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "admission") {
+                when (step) {
+                    is AdmissionStep.Admit -> caller.admitPending()
+                    is AdmissionStep.Reject -> {
+                        telemetry.rejected(step.cause)
+                        caller.rejectPending(step.retryAfter)
+                    }
                 }
             }
-        } catch (@Suppress("TooGenericExceptionCaught") failure: Exception) {
-            // One request that can't be handled must not take those behind it along.
-            dataPlane.log.write(LogEvent.REQUEST_HANDLING_FAILED) { field("detail", failure) }
-            caller.close()
-        }
+        if (!isDone) caller.close()
+    }
+
+    /** Rejects all requests that wait, because the process is about to exit. */
+    fun rejectAll() {
+        queue.removeAll().forEach { it.caller.rejectPending(STOPPED_RETRY_AFTER) }
     }
 
     /** Writes what was rejected since the last call; called at most twice a second. */
@@ -110,5 +114,8 @@
     private companion object {
         /** Time limit and latency target of a request whose route is unknown; its answer needs no server. */
         val UNKNOWN_ROUTE_LIMIT: Duration = 1.seconds
+
+        /** Callers may go to another entry at once. */
+        val STOPPED_RETRY_AFTER: Duration = Duration.ZERO
     }
 }
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -1,5 +1,6 @@
 package org.yuccajunction.gateway
 
+import io.netty.channel.Channel
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
@@ -27,11 +28,15 @@
 import java.net.SocketException
 import java.net.SocketTimeoutException
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs the data plane of one entry on loopback, in front of the scripted [servers] and one of another service. */
-class GatewayFixture(private vararg val servers: ScriptedServer, private val otherServer: ScriptedServer? = null) :
-    Closeable {
+class GatewayFixture(
+    private vararg val servers: ScriptedServer,
+    private val otherServer: ScriptedServer? = null,
+    private val timeLimit: Duration = TIME_LIMIT,
+) : Closeable {
     private val loopDelay = EventLoopDelay()
     private val group = TrafficLoop.group(loopDelay)
     private val loopback = InetAddress.getLoopbackAddress().hostAddress
@@ -47,6 +52,7 @@
     private val clock = SuspensionAwareClock(wallMillis = { System.currentTimeMillis() + suspendedMillis })
     internal val dataPlane =
         DataPlane(settings, TestWire(), group.next(), DecisionLog("test"), TrafficMetrics(), clock, loopDelay)
+    private val callerListener: Channel
     private val port: Int
     private val peerPort: Int
 
@@ -55,8 +61,8 @@
             dataPlane.update(fleet())
             dataPlane.recordConfirmation(dataPlane.clock.now())
         }
-        val channel = Listeners(group).listenForCallers(anyPort, dataPlane)
-        port = (channel.localAddress() as InetSocketAddress).port
+        callerListener = Listeners(group).listenForCallers(anyPort, dataPlane)
+        port = (callerListener.localAddress() as InetSocketAddress).port
         val peerChannel = Listeners(group).listenForCallers(anyPort, dataPlane, isForPeers = true)
         peerPort = (peerChannel.localAddress() as InetSocketAddress).port
     }
@@ -127,8 +133,8 @@
             destinations = persistentListOf(Destination(service)),
             isStream = isStream,
             mayRepeat = mayRepeat,
-            timeLimit = TIME_LIMIT,
-            latencyTarget = TIME_LIMIT,
+            timeLimit = timeLimit,
+            latencyTarget = timeLimit,
             maxExecutions = 2,
         )
 
@@ -136,6 +142,9 @@
         dataPlane.loop.submit(action).sync()
     }
 
+    /** Closes the listening socket as a graceful stop does. */
+    fun closeListener() = Listeners(group).closeWhenEmpty(callerListener)
+
     fun connect(): Socket = Socket(loopback, port).also { it.soTimeout = READ_TIMEOUT_MILLIS }
 
     /** Sends one request on a new connection and returns all bytes until the connection ends or the read times out. */
@@ -156,7 +165,8 @@
         fun request(path: String, body: String? = null, headers: String = "key: key-1\r\n", id: String = "r1"): String {
             val method = if (body == null) "GET" else "POST"
             val length = if (body == null) "" else "content-length: ${body.length}\r\n"
-            return "$method $path HTTP/1.1\r\nhost: host\r\nid: $id\r\nlimit: 1500\r\n$headers$length" +
+            val limit = if ("limit:" in headers) "" else "limit: 1500\r\n"
+            return "$method $path HTTP/1.1\r\nhost: host\r\nid: $id\r\n$limit$headers$length" +
                 "connection: close\r\n\r\n${body.orEmpty()}"
         }
 
