Choose among servers that report their pace by shared observations; spread requests by the age of what is known

An entry sends to a given server every 11 to 14 s, so what it knew alone was old, and a pace lasts 0.6 s. For services whose servers report a pace, prediction counts the pace, the learned speed and the wait for a slot, and requests spread so that the delay by the requests of all entries is level.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -1,7 +1,10 @@
 package org.yuccajunction.entries
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
+import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.quarantine.QuarantineReport
 import org.yuccajunction.rollout.MoveReport
 
@@ -29,8 +32,10 @@
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
  * @property quarantine what the entry knows of requests and prompt parts under which servers have ended
+ * @property serverObservations newest reports of servers that name their pace, newest first, a few of them
  * @property liftedLimits servers that have named a limit to the entry and no longer do
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class EntryHeartbeat(
     public val name: String,
@@ -56,4 +61,9 @@
     public val unreachableServices: List<String> = emptyList(),
     public val brittleServices: Map<String, Double> = emptyMap(),
     public val rejectionAgesMillis: Map<String, Long> = emptyMap(),
+    @ProtoNumber(SERVER_OBSERVATIONS_NUMBER)
+    public val serverObservations: List<ServerObservation> = emptyList(),
 )
+
+/** Field number of [EntryHeartbeat.serverObservations]; those of the properties before it are their positions. */
+private const val SERVER_OBSERVATIONS_NUMBER = 21
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -126,7 +126,7 @@
     ): Double? {
         val load = observations.load(server.id) ?: return null
         if (!request.route.isStream || load.waitingRequests(now) < 1.0) return null
-        val idleMillis = terms.prefillMillis * load.latencyRatio
+        val idleMillis = terms.prefillMillis * load.speedFactor(now)
         return (terms.predictedMillis - idleMillis).takeIf { it > WaitLimit.longestMillis(request, idleMillis) }
     }
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
@@ -27,6 +27,12 @@
             val millis = answerModel(request).predictMillis(request.route.name, utilization)
             return LatencyPrediction.Answer(request.route.name, utilization, millis)
         }
+        if (load.isPaced) {
+            val state = EngineState(load.pendingPrefillTokens + prefillTokens, openRequests, load.waitingRequests(now))
+            val slotMillis = load.slotWait(now).millis
+            val millis = firstEventModel(request).predictMillis(state) + slotMillis
+            return LatencyPrediction.FirstEvent(state, millis, slotMillis)
+        }
         val beyondSlots = openRequests + 1.0 - load.server.slots.coerceAtLeast(1)
         val waiting = maxOf(load.waitingRequests(now), beyondSlots)
         val state = EngineState(load.pendingPrefillTokens + prefillTokens, openRequests, waiting)
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/SimulatedEngine.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/SimulatedEngine.kt
@@ -17,6 +17,7 @@
      * @property stepMillisPerRunning time that each running request adds to a step
      * @property chunkTokens most prompt tokens that it processes between two steps
      * @property slots requests that it executes at once
+     * @property tokensPerEvent generated tokens after which the first event is sent
      */
     class EngineSpeed(
         val tokensPerMillisecond: Double = 140.0,
@@ -24,6 +25,7 @@
         val stepMillisPerRunning: Double = 0.0,
         val chunkTokens: Int = 2_048,
         val slots: Int = 64,
+        val tokensPerEvent: Int = 1,
     )
 
     /** One request at this engine; calls [answered] at the first generated token and [ended] after the last. */
@@ -37,6 +39,9 @@
     private val running = ArrayList<Execution>()
     private val cache = LinkedHashMap<String, Int>(64, 0.75f, true)
     private var time = 0.0
+
+    /** Multiple of the usual time that work takes on the machine of this engine now. */
+    var pace = 1.0
     var sharedTokensRead = 0L
         private set
 
@@ -70,16 +75,44 @@
         if (waiting.isEmpty() && running.isEmpty()) time = maxOf(time, until)
     }
 
+    /** Returns the milliseconds until the first event of a request with [prompt] that would arrive now. */
+    fun millisToFirstEvent(prompt: List<PromptPart>): Double {
+        val cached = prompt.takeWhile { cache.containsKey(it.id) }.sumOf { it.tokens }
+        val unread = waiting.sumOf { it.unreadTokens } + prompt.sumOf { it.tokens } - cached
+        val needed = running.size + waiting.size + 1 - speed.slots
+        val ends = running.map { it.tokensLeft }.sorted()
+        val slotMillis = if (needed <= 0) 0.0 else ends[minOf(needed, ends.size) - 1] * speed.stepMillis
+        return pace * (slotMillis + unread / speed.tokensPerMillisecond + speed.tokensPerEvent * speed.stepMillis)
+    }
+
     private fun step() {
+        val start = time
+        work()
+        time = start + (time - start) * pace
+        val next = waiting.firstOrNull()
+        if (next != null && next.unreadTokens == 0 && running.size < speed.slots) {
+            waiting.removeFirst()
+            running += next
+        }
+        finishTokens()
+    }
+
+    private fun work() {
         time +=
             speed.stepMillis + running.size * speed.stepMillisPerRunning +
             running.sumOf { it.request.promptTokens } * CONTEXT_MILLIS
         val next = waiting.firstOrNull()
         if (next != null && running.size < speed.slots) prefillChunk(next)
+    }
+
+    private fun finishTokens() {
         for (execution in running.toList()) {
-            if (!execution.hasBegun) execution.answered(time)
-            execution.hasBegun = true
             execution.tokensLeft -= 1
+            val generated = execution.request.answerTokens - execution.tokensLeft
+            if (!execution.hasBegun && (generated >= speed.tokensPerEvent || execution.tokensLeft <= 0)) {
+                execution.hasBegun = true
+                execution.answered(time)
+            }
             if (execution.tokensLeft > 0) continue
             running -= execution
             execution.ended(time)
@@ -90,9 +123,6 @@
         val chunk = minOf(speed.chunkTokens, execution.unreadTokens)
         execution.unreadTokens -= chunk
         time += chunk / speed.tokensPerMillisecond
-        if (execution.unreadTokens > 0) return
-        waiting.removeFirst()
-        running += execution
     }
 
     private companion object {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -5,6 +5,7 @@
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.fleet.LoadBalancer
 import org.yuccajunction.fleet.ServerChoice
+import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.fleet.ServerQuery
 import org.yuccajunction.forward.ForwardEnvironment
 import org.yuccajunction.forward.RefusalCause
@@ -221,6 +222,7 @@
             loadBalancer.brittleServers.rejectionAges(now()).entries.associate {
                 it.key.value to it.value.inWholeMilliseconds
             },
+            serverObservations = loadBalancer.observations.newest(now()),
         )
 
     /**
@@ -236,6 +238,7 @@
         relays.acceptHeartbeats(heartbeats, live)
         for (heartbeat in heartbeats) {
             loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
+            recordObservations(heartbeat.serverObservations, now)
             heartbeat.quarantine.ends.forEach {
                 loadBalancer.notices.recordEnded(it.incarnation, now - it.ageMillis.milliseconds)
                 serverEndDetector.peerReportedEnd(it.incarnation)
@@ -262,6 +265,11 @@
         }
     }
 
+    private fun recordObservations(observations: List<ServerObservation>, now: MonotonicTime) {
+        if (observations.isEmpty()) return
+        metrics.observationsRecorded("peer", loadBalancer.observations.recordPeer(observations, now))
+    }
+
     private companion object {
         const val TICK_INTERVAL_MILLIS = 40L
         const val URGENT_REPORT_DELAY_MILLIS = 20L
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -236,6 +236,7 @@
             unreachableServices = report.unreachableServices,
             brittleServices = report.brittleServices,
             rejectionAgesMillis = report.rejectionAgesMillis,
+            serverObservations = report.serverObservations,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
@@ -30,6 +30,11 @@
         registry.counter("yuccajunction.store.calls", "outcome", outcome).increment()
     }
 
+    /** Counts [count] load reports of servers from [source] that were newer than what was known. */
+    public fun observationsRecorded(source: String, count: Int) {
+        registry.counter("yuccajunction.forward.observations", "source", source).increment(count.toDouble())
+    }
+
     /** Records the [ratio] of the measured to the predicted latency of an answer of [service]. */
     public fun latencyPredicted(service: String, ratio: Double) {
         predictions.getOrPut(service) { predictionSummary(service) }.record(ratio)
