Don't act or order twice after a lost answer of the duties' calls

A former holder that took the lease over again, and got no answer to that write, acted at once, because the takeover delay was counted from its first tenure. The delay now belongs to a fencing number.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -33,6 +33,9 @@
     private var isWriteOutcomeUnknown = false
     private var acquiredAt: MonotonicTime? = null
 
+    /** Fencing number of the tenure to which [acquiredAt] belongs. */
+    private var acquiredNumber: Long? = null
+
     /** Totals of the records that this entry has read or written, which an older copy of the store may lack. */
     private var knownTotals: Map<Long, Map<String, Int>> = emptyMap()
     private var knownBaseline: Map<String, Map<String, Int>> = emptyMap()
@@ -65,7 +68,7 @@
         cached = StoredRecord(record, reading.stored.version)
         isWriteOutcomeUnknown = false
         remember(record)
-        if (isOwn(record) && acquiredAt == null) acquiredAt = now()
+        if (isOwn(record)) startTenure(record.fencingNumber)
         return DutyReading.Found(record)
     }
 
@@ -105,10 +108,17 @@
                 baseline = former?.baseline.orEmpty() + knownBaseline,
             )
         if (!write(record)) return false
-        acquiredAt = now()
+        startTenure(record.fencingNumber)
         return true
     }
 
+    /** Starts the takeover delay, unless it was started for [number] before. */
+    private fun startTenure(number: Long) {
+        if (number == acquiredNumber) return
+        acquiredNumber = number
+        acquiredAt = now()
+    }
+
     /**
      * Renews the lease by a conditional write; returns null where this entry must not start a call now.
      *
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/DutyLeaseTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/DutyLeaseTest.kt
@@ -115,4 +115,24 @@
             assertTrue(first.takeOver())
             assertTrue(checkNotNull(first.fencingNumber) > 2, "the number of the other holder must not be used again")
         }
+
+    /** Guards against two holders that act at once, where one takes over again and the answer of its write is lost. */
+    @Test
+    fun `a former holder waits for the takeover delay again, though the answer of its takeover was lost`() =
+        runBlocking {
+            first.takeOver()
+            now += 3.seconds
+            second.takeOver()
+            assertNull(first.renew())
+            now += 3.seconds
+            val other = assertNotNull(second.renew())
+            store.losesAnswers = true
+            assertFalse(first.takeOver())
+            store.losesAnswers = false
+            assertTrue(other.isValid(now))
+            assertNull(first.renew(), "the other holder may still act")
+            now += 3.seconds
+            assertFalse(other.isValid(now))
+            assertEquals(3, first.renew()?.fencingNumber?.value)
+        }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -156,7 +156,7 @@
     private suspend fun placeOrder(grant: DutyGrant, order: CapacityOrder, demand: ServiceDemand) {
         if (!grant.isValid(leaseNow())) return
         val outcome = calls.order(grant.fencingNumber, order)
-        orderPlanner.recordAnswer(order, outcome is DutyOutcome.Accepted, controlPlane.now())
+        orderPlanner.recordAnswer(order, outcome, controlPlane.now())
         log.write(LogEvent.CAPACITY_ANSWERED) {
             field("order", order)
             field("openRequests", demand.openRequests)
