Pass on the usage of quotas, so that a jump of demand neither loses nor exceeds

Above 17 entries, peers heard of an entry's usage after 3 to 13 s, and usage was taken out of a level that was refilled afterwards. Entries now pass on changed counts, report some admitted requests at once, refill before they record reports, and admit the fraction that supply and demand of all allow.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -1,10 +1,16 @@
 package org.yuccajunction.entries
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
 import org.yuccajunction.quarantine.QuarantineReport
+import org.yuccajunction.quota.UsageReport
 import org.yuccajunction.rollout.MoveReport
 
+/** Field number of [EntryHeartbeat.usageReport]; the numbers 21 and 22 belong to other properties. */
+private const val USAGE_REPORT_NUMBER = 23
+
 /**
  * The state that an entry reports to its peers.
  *
@@ -29,8 +35,10 @@
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
  * @property quarantine what the entry knows of requests and prompt parts under which servers have ended
+ * @property usageReport further counts of the usage of quotas, null from entries that don't pass on counts
  * @property liftedLimits servers that have named a limit to the entry and no longer do
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class EntryHeartbeat(
     public val name: String,
@@ -56,4 +64,6 @@
     public val unreachableServices: List<String> = emptyList(),
     public val brittleServices: Map<String, Double> = emptyMap(),
     public val rejectionAgesMillis: Map<String, Long> = emptyMap(),
+    @ProtoNumber(USAGE_REPORT_NUMBER)
+    public val usageReport: UsageReport? = null,
 )
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -15,6 +15,7 @@
 import org.yuccajunction.quarantine.CrashQuarantine
 import org.yuccajunction.quarantine.QuarantineChange
 import org.yuccajunction.quarantine.QuarantineDecision
+import org.yuccajunction.quota.RelayedUsage
 import org.yuccajunction.quota.ServiceRetryBudget
 import org.yuccajunction.quota.UsageWindows
 import org.yuccajunction.quota.WorkspaceQuotas
@@ -48,7 +49,13 @@
             onPrediction = predictions::record,
             onUrgentReport = ::reportUrgently,
         )
-    val quotas = WorkspaceQuotas(settings.bounds.quotaTolerance, System.currentTimeMillis(), startedAt = now())
+    val quotas =
+        WorkspaceQuotas(
+            settings.bounds.quotaTolerance,
+            System.currentTimeMillis(),
+            startedAt = now(),
+            onUrgentReport = ::reportUrgently,
+        )
     val retryBudget =
         with(settings.bounds) { ServiceRetryBudget(retryBudgetRatio, retryBudgetBase, retryBudgetWindow) }
     val usageWindows = UsageWindows(settings.bounds.usageWindow)
@@ -133,6 +140,7 @@
     fun update(fleet: FleetSnapshot) {
         this.fleet = fleet
         loadBalancer.update(fleet, now())
+        quotas.updatePolicies(fleet.configuration?.workspaces.orEmpty())
         serverConnections.closeUnlisted(fleet)
         serverEndDetector.fleetChanged()
         relays.retainServices()
@@ -204,10 +212,11 @@
     /** Returns the samples that were kept since the last call. */
     fun takeTrialSamples(): List<TrialSample> = trialSamples.also { trialSamples = ArrayList() }
 
-    /** Returns this entry's counts for the next heartbeat. */
-    fun report(): TrafficReport =
+    /** Returns this entry's counts for the next heartbeat, and those of peers if it [passesOnUsage]. */
+    fun report(passesOnUsage: Boolean = false): TrafficReport =
         TrafficReport(
             admitted = quotas.admittedByWorkspace().mapKeys { it.key.value },
+            usageReport = quotas.nextUsageReport(passesOnUsage),
             usage = usageWindows.counts(),
             openRequests = loadBalancer.openRequests().mapKeys { it.key.value },
             busyServers = loadBalancer.busyServers(now()).mapKeys { it.key.value },
@@ -253,13 +262,18 @@
                 heartbeat.requestLimits.mapKeys { BackendServerId(it.key) },
                 heartbeat.liftedLimits.mapTo(HashSet()) { BackendServerId(it) },
             )
-            quotas.recordPeerUsage(
-                heartbeat.name,
-                heartbeat.incarnation,
-                heartbeat.admitted.mapKeys { WorkspaceId(it.key) },
-                now,
-            )
+            recordUsage(heartbeat, now)
+        }
+    }
+
+    private fun recordUsage(heartbeat: EntryHeartbeat, now: MonotonicTime) {
+        val report = heartbeat.usageReport
+        if (report == null) {
+            val admitted = heartbeat.admitted.mapKeys { WorkspaceId(it.key) }
+            return quotas.recordPeerUsage(heartbeat.name, heartbeat.incarnation, admitted, now)
         }
+        val own = with(heartbeat) { RelayedUsage(name, incarnation, sequence, admitted, report.requested) }
+        quotas.recordPeerReport(settings.name, own, report.relayed, now)
     }
 
     private companion object {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -30,6 +30,7 @@
 import org.yuccajunction.quota.UsageTotals
 import org.yuccajunction.rollout.MoveReport
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -50,6 +51,7 @@
     private val settings = dataPlane.settings
     private val newHeartbeats = ArrayList<EntryHeartbeat>()
     private var sequence = 0L
+    private var isHandoverScheduled = false
     private var usageSentAt: MonotonicTime? = null
     private var ownOpenRequests: Map<String, Int> = emptyMap()
     private var ownBusyServers: Map<String, Double> = emptyMap()
@@ -111,8 +113,9 @@
      */
     fun exchangeHeartbeats(isBroadcast: Boolean = false) {
         handOverHeartbeats()
+        val passesOnUsage = table.isLargeFleet() && !isBroadcast
         dataPlane.loop.execute {
-            val report = dataPlane.report()
+            val report = dataPlane.report(passesOnUsage)
             channel.eventLoop().execute { sendHeartbeat(report, isBroadcast) }
         }
     }
@@ -188,6 +191,7 @@
             unreachableServices = report.unreachableServices,
             brittleServices = report.brittleServices,
             rejectionAgesMillis = report.rejectionAgesMillis,
+            usageReport = report.usageReport,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
@@ -214,7 +218,22 @@
         if (!table.recordHeartbeat(message.heartbeat, now)) return
         usageTotals.replaceCounts("${message.heartbeat.name}/${message.heartbeat.incarnation}", message.usage)
         newHeartbeats += message.heartbeat
-        if (message.heartbeat.quarantine.hasFreshEvidence) handOverHeartbeats()
+        if (message.heartbeat.quarantine.hasFreshEvidence) {
+            handOverHeartbeats()
+        } else if (table.isLargeFleet()) {
+            handOverSoon()
+        }
+    }
+
+    /** Hands over heartbeats within [HANDOVER_DELAY_MILLIS], because quotas of all entries go by what they report. */
+    private fun handOverSoon() {
+        if (isHandoverScheduled) return
+        isHandoverScheduled = true
+        val handOver = {
+            isHandoverScheduled = false
+            handOverHeartbeats()
+        }
+        channel.eventLoop().schedule(handOver, HANDOVER_DELAY_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -234,6 +253,7 @@
     }
 
     private companion object {
+        const val HANDOVER_DELAY_MILLIS = 50L
         const val MIN_JITTER = 0.9
         const val MAX_JITTER = 1.1
         val USAGE_SEND_INTERVAL = 800.milliseconds
