--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.quarantine.QuarantineReport
+import org.yuccajunction.quota.UsageReport
 import org.yuccajunction.rollout.MoveReport
 
 /**
@@ -33,6 +34,7 @@
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
  * @property quarantine what the entry knows of requests and prompt parts under which servers have ended
  * @property serverObservations newest reports of servers that name their pace, newest first, a few of them
+ * @property usageReport further counts of the usage of quotas, null from entries that don't pass on counts
  * @property liftedLimits servers that have named a limit to the entry and no longer do
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -63,7 +65,10 @@
     public val rejectionAgesMillis: Map<String, Long> = emptyMap(),
     @ProtoNumber(SERVER_OBSERVATIONS_NUMBER)
     public val serverObservations: List<ServerObservation> = emptyList(),
+    @ProtoNumber(USAGE_REPORT_NUMBER)
+    public val usageReport: UsageReport? = null,
 )
 
-/** Field number of [EntryHeartbeat.serverObservations]; those of the properties before it are their positions. */
+/** Field numbers of the last properties; those of the properties before them are their positions. */
 private const val SERVER_OBSERVATIONS_NUMBER = 21
+private const val USAGE_REPORT_NUMBER = 23
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -30,6 +30,7 @@
 import org.yuccajunction.quota.UsageTotals
 import org.yuccajunction.rollout.MoveReport
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -50,6 +51,7 @@
     private val settings = dataPlane.settings
     private val newHeartbeats = ArrayList<EntryHeartbeat>()
     private var sequence = 0L
+    private var isHandoverScheduled = false
     private var usageSentAt: MonotonicTime? = null
     private var ownOpenRequests: Map<String, Int> = emptyMap()
     private var ownBusyServers: Map<String, Double> = emptyMap()
@@ -111,8 +113,9 @@
      */
     fun exchangeHeartbeats(isBroadcast: Boolean = false) {
         handOverHeartbeats()
+        val passesOnUsage = table.isLargeFleet() && !isBroadcast
         dataPlane.loop.execute {
-            val report = dataPlane.report()
+            val report = dataPlane.report(passesOnUsage)
             channel.eventLoop().execute { sendHeartbeat(report, isBroadcast) }
         }
     }
@@ -193,6 +196,7 @@
             brittleServices = report.brittleServices,
             rejectionAgesMillis = report.rejectionAgesMillis,
             serverObservations = report.serverObservations,
+            usageReport = report.usageReport,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
@@ -220,7 +224,22 @@
         if (!table.recordHeartbeat(heartbeat, now)) return
         usageTotals.replaceCounts("${heartbeat.name}/${heartbeat.incarnation}", message.usage)
         newHeartbeats += heartbeat
-        if (heartbeat.quarantine.hasFreshEvidence) handOverHeartbeats()
+        if (heartbeat.quarantine.hasFreshEvidence) {
+            handOverHeartbeats()
+        } else if (table.isLargeFleet()) {
+            handOverSoon()
+        }
+    }
+
+    /** Hands over heartbeats within [HANDOVER_DELAY_MILLIS], because quotas of all entries go by what they report. */
+    private fun handOverSoon() {
+        if (isHandoverScheduled) return
+        isHandoverScheduled = true
+        val handOver = {
+            isHandoverScheduled = false
+            handOverHeartbeats()
+        }
+        channel.eventLoop().schedule(handOver, HANDOVER_DELAY_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -240,6 +259,7 @@
     }
 
     private companion object {
+        const val HANDOVER_DELAY_MILLIS = 50L
         const val MIN_JITTER = 0.9
         const val MAX_JITTER = 1.1
         val USAGE_SEND_INTERVAL = 800.milliseconds
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -2,6 +2,7 @@
 
 import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.quarantine.QuarantineReport
+import org.yuccajunction.quota.UsageReport
 
 /**
  * Holds the counts that the traffic thread hands to the control thread for the next heartbeat.
@@ -17,6 +18,7 @@
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
  * @property serverObservations newest reports of servers that name their pace
+ * @property usageReport further counts of the usage of quotas
  * @property quarantine what this entry knows of requests and prompt parts under which servers have ended
  */
 internal class TrafficReport(
@@ -32,4 +34,5 @@
     val brittleServices: Map<String, Double>,
     val rejectionAgesMillis: Map<String, Long>,
     val serverObservations: List<ServerObservation>,
+    val usageReport: UsageReport,
 )
