--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -1,9 +1,17 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
 package org.yuccajunction.entries
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
 import org.yuccajunction.quarantine.QuarantineReport
 import org.yuccajunction.rollout.MoveReport
+import org.yuccajunction.shortage.DemandReport
+
+/** Field number of [EntryHeartbeat.demand]; the number before it belongs to another property. */
+private const val DEMAND_FIELD = 22
 
 /**
  * The state that an entry reports to its peers.
@@ -30,6 +38,7 @@
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
  * @property quarantine what the entry knows of requests and prompt parts under which servers have ended
  * @property liftedLimits servers that have named a limit to the entry and no longer do
+ * @property demand what is requested of the entry, for services whose servers report their pace
  */
 @Serializable
 public data class EntryHeartbeat(
@@ -56,4 +65,6 @@
     public val unreachableServices: List<String> = emptyList(),
     public val brittleServices: Map<String, Double> = emptyMap(),
     public val rejectionAgesMillis: Map<String, Long> = emptyMap(),
+    @ProtoNumber(DEMAND_FIELD)
+    public val demand: List<DemandReport> = emptyList(),
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
@@ -108,6 +108,7 @@
                 unreachableServices = emptyList(),
                 brittleServices = emptyMap(),
                 rejectionAgesMillis = emptyMap(),
+                demand = emptyList(),
             )
         }
     }
