Reject at admission what the level of a short service does not admit

ForwardAdmission asks ShortageControl once route, key and quota are known, and returns the charge of a rejected request. The cause is capacity-short; CAPACITY_SHORT (7007) tells the terms at most once a second and service, and yuccajunction.forward.rejected counts by workspace, class and cause. Peers' reports of full servers are handed to the traffic thread within 50 ms.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -83,6 +83,11 @@
         LogLevel.WARN,
         "The predicted latencies of a service differ from the measured ones by a large factor.",
     ),
+    CAPACITY_SHORT(
+        7007,
+        LogLevel.WARN,
+        "Requests to a service were rejected because demand exceeds its capacity; written at most once a second.",
+    ),
     ENTRIES_CHANGED(9001, LogLevel.INFO, "The set of live entries has changed."),
     SERVER_LISTED(9002, LogLevel.INFO, "A backend server was registered, or its registration has changed."),
     SERVER_UNLISTED(9003, LogLevel.INFO, "A backend server is no longer registered."),
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/shortage/OccupancyReport.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/shortage/OccupancyReport.kt
@@ -12,4 +12,12 @@
  * @property slots requests that the servers execute at once; 0 without recent load reports
  */
 @Serializable
-public data class OccupancyReport(public val running: Int = 0, public val waiting: Int = 0, public val slots: Int = 0)
+public data class OccupancyReport(
+    public val running: Int = 0,
+    public val waiting: Int = 0,
+    public val slots: Int = 0,
+) {
+    /** Whether hardly a slot is free, so that peers should take the report into account at once. */
+    public val isFull: Boolean
+        get() = !ServiceOccupancy(running.toDouble(), waiting.toDouble(), slots.toDouble()).hasRoom
+}
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -59,6 +59,7 @@
     val quarantine = CrashQuarantine(settings.name, ::quarantineDecided, ::reportUrgently)
     val serverEndDetector = ServerEndDetector(this)
     val relays = EntryRelays(this)
+    val shortage = ShortageControl(this)
     val environment =
         ForwardEnvironment(
             chooseServer = ::chooseServer,
@@ -136,6 +137,7 @@
         serverConnections.closeUnlisted(fleet)
         serverEndDetector.fleetChanged()
         relays.retainServices()
+        shortage.update(fleet)
     }
 
     /** Records that a call that began at [at] or later, by [clock], confirmed the configuration as current. */
@@ -164,6 +166,7 @@
 
     private fun tick() {
         val now = now()
+        shortage.admission.tick(now)
         exchanges.toList().forEach { it.tick(now) }
         isTicking = exchanges.isNotEmpty()
         if (isTicking) scheduleTick()
@@ -172,6 +175,7 @@
     /** Closes connections of callers and backend servers that were idle for too long; called twice a second. */
     fun closeIdleConnections() {
         val now = now()
+        shortage.admission.tick(now)
         storeQuarantineChanges()
         serverConnections.closeIdle(now)
         callerConnections.toList().forEach { it.enforceTimeouts(now) }
@@ -221,6 +225,7 @@
             loadBalancer.brittleServers.rejectionAges(now()).entries.associate {
                 it.key.value to it.value.inWholeMilliseconds
             },
+            demand = shortage.admission.report(now()),
         )
 
     /**
@@ -234,6 +239,7 @@
         loadBalancer.requestLimits.retainPeers(live)
         loadBalancer.brittleServers.retainPeers(live)
         relays.acceptHeartbeats(heartbeats, live)
+        shortage.admission.retainPeers(live)
         for (heartbeat in heartbeats) {
             loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
             heartbeat.quarantine.ends.forEach {
@@ -241,6 +247,7 @@
                 serverEndDetector.peerReportedEnd(it.incarnation)
             }
             quarantine.recordPeer(heartbeat.quarantine, now)
+            shortage.admission.recordPeer(heartbeat.name, heartbeat.demand, now)
             loadBalancer.brittleServers.recordPeer(
                 heartbeat.name,
                 heartbeat.brittleServices.mapKeys { ServiceName(it.key) },
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -102,6 +102,7 @@
         }
         if (status < MIN_SERVER_ERROR_STATUS) dataPlane.quarantine.recordAnswer(request, now)
         attempt.trial.answered(attempt, isFailure = status >= MIN_SERVER_ERROR_STATUS, now)
+        dataPlane.shortage.answered(attempt, now)
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, now)
         dataPlane.loadBalancer.endAttempt(
             attempt.ticket,
@@ -146,6 +147,7 @@
         if (!attempt.markOver()) return
         val now = dataPlane.now()
         attempt.trial.answered(attempt, isFailure = false, now)
+        dataPlane.shortage.answered(attempt, now)
         if (!attempt.server.isPeerEntry) dataPlane.quarantine.recordAnswer(request, now)
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, now)
         dataPlane.loadBalancer.endAttempt(attempt.ticket, null, now)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
@@ -12,6 +12,7 @@
 import org.yuccajunction.forward.ForwardRoute
 import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.forward.WorkspacePolicy
+import org.yuccajunction.shortage.AdmissionDecision
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,6 +40,8 @@
                 caller.writeRejection(rejection.cause.status, rejection.cause.code, rejection.retryAfter)
             is Rejection.QuotaUsedUp ->
                 caller.writeRejection(rejection.cause.status, rejection.cause.code, rejection.retryAfter)
+            is Rejection.CapacityShort ->
+                caller.writeRejection(rejection.cause.status, rejection.cause.code, rejection.decision.retryAfter)
             is Rejection.Permanent ->
                 if (isOfPeer) {
                     caller.writeRejection(RefusalCause.NO_CONFIGURATION.status, rejection.code, retryAfter())
@@ -61,6 +64,13 @@
                 field("charge", rejection.charge)
                 field("remaining", dataPlane.quotas.remaining(rejection.policy.id))
             }
+            if (rejection is Rejection.CapacityShort) {
+                field("service", rejection.request.service)
+                field("workspace", rejection.request.workspace)
+                field("rank", rejection.request.rank)
+                field("admittedFraction", rejection.decision.terms.admittedFraction)
+                field("retryAfterMillis", rejection.decision.retryAfter.inWholeMilliseconds)
+            }
         }
     }
 
@@ -78,8 +88,23 @@
             val policy = if (route.isPublic || !configuration.needsKeys) null else workspacePolicy(configuration, head)
             val isChargedByPeer = !isOfPeer && dataPlane.relays.forwardsAll(route)
             val charge = if (isChargedByPeer) null else policy?.let { chargeQuota(it, head, received) }
-            Admitted(request(received, route, head, id, policy), charge)
+            val request = request(received, route, head, id, policy)
+            if (!isChargedByPeer) ensureCapacity(request, charge, received)
+            Admitted(request, charge)
+        }
+
+    /** Rejects a request that is not admitted while capacity is short, and returns its charge to the quota. */
+    private fun Raise<Rejection>.ensureCapacity(
+        request: ForwardRequest,
+        charge: Exchange.QuotaCharge?,
+        received: ReceivedRequest,
+    ) {
+        val decision = dataPlane.shortage.decide(request, received.receivedAt)
+        if (decision is AdmissionDecision.Reject) {
+            charge?.refund(dataPlane)
+            raise(Rejection.CapacityShort(request, decision))
         }
+    }
 
     private fun Raise<Rejection>.workspacePolicy(
         configuration: ForwardConfiguration,
@@ -172,6 +197,12 @@
             override val code: String get() = cause.code
         }
 
+        /** Demand exceeds the capacity of the service of [request]. */
+        class CapacityShort(val request: ForwardRequest, val decision: AdmissionDecision.Reject) : Rejection {
+            val cause: RefusalCause get() = RefusalCause.CAPACITY_SHORT
+            override val code: String get() = cause.code
+        }
+
         class Permanent(val status: Int, override val code: String) : Rejection
     }
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -60,6 +60,9 @@
     private var usageSentAt: MonotonicTime? = null
     private var ownOpenRequests: Map<String, Int> = emptyMap()
     private var ownBusyServers: Map<String, Double> = emptyMap()
+
+    /** Hands over what has arrived within a short time, since all peers report while capacity is short. */
+    private val handOver = CoalescedCall(HAND_OVER_DELAY_MILLIS, ::handOverHeartbeats)
     private lateinit var channel: Channel
 
     val table = PeerTable(settings.name, startedAt = dataPlane.now())
@@ -236,6 +239,7 @@
             unreachableServices = report.unreachableServices,
             brittleServices = report.brittleServices,
             rejectionAgesMillis = report.rejectionAgesMillis,
+            demand = report.demand,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
@@ -263,6 +267,7 @@
         usageTotals.replaceCounts("${message.heartbeat.name}/${message.heartbeat.incarnation}", message.usage)
         newHeartbeats += message.heartbeat
         if (message.heartbeat.quarantine.hasFreshEvidence) handOverHeartbeats()
+        if (message.heartbeat.demand.any { it.occupancy.isFull }) handOver.request(channel.eventLoop())
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -283,6 +288,7 @@
 
     private companion object {
         const val REGISTRATION_KIND = "entry-registrations"
+        const val HAND_OVER_DELAY_MILLIS = 50L
         const val MIN_JITTER = 0.9
         const val MAX_JITTER = 1.1
         val REGISTRATION_RETRY_DELAY = 500.milliseconds
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -111,7 +111,10 @@
 
     private fun beginAnswer(current: ServerAttempt, response: HttpResponse) {
         val head = dataPlane.wire.readAnswer(response)
-        head.load?.let { dataPlane.loadBalancer.recordLoadReport(server.id, it, dataPlane.now()) }
+        head.load?.let {
+            dataPlane.loadBalancer.recordLoadReport(server.id, it, dataPlane.now())
+            dataPlane.shortage.recordLoadReport(server, it, dataPlane.now())
+        }
         head.keepAliveSeconds?.let { serverKeepAlive = it.seconds }
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
         if (!head.isMisplaced && !server.isPeerEntry) recordNotices(head)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
@@ -4,6 +4,8 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.yuccajunction.forward.ForwardRequest
+import org.yuccajunction.forward.RefusalCause
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -25,6 +27,26 @@
         registry.counter("yuccajunction.forward.attempts", "end", end).increment()
     }
 
+    /** Counts a [request] that was rejected because the capacity of its service is short. */
+    internal fun requestRejectedForShortage(request: ForwardRequest) {
+        val workspace = request.workspace?.value ?: "public"
+        val cause = RefusalCause.CAPACITY_SHORT.code
+        registry
+            .counter(
+                "yuccajunction.forward.rejected",
+                "workspace",
+                workspace,
+                "class",
+                request.className,
+                "cause",
+                cause,
+            )
+            .increment()
+    }
+
+    private val ForwardRequest.className: String
+        get() = "${if (route.isStream) "stream" else "call"}-${route.rank}"
+
     /** Counts a call to the platform's store that ended with [outcome]. */
     public fun storeCallEnded(outcome: String) {
         registry.counter("yuccajunction.store.calls", "outcome", outcome).increment()
