--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/shortage/ShortageFleetTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/shortage/ShortageFleetTest.kt
@@ -74,6 +74,22 @@
         for (entries in listOf(70, 89)) assertUrgency(burst(entries, ShortageFleet.QUESTION))
     }
 
+    /** Guards against a level that stays after the burst, also where callers with much time left come back for long. */
+    @Test
+    fun `service is back to normal after a burst of the most urgent class`() =
+        assertBackToNormal(ShortageBurst(ShortageFleet(SEED, 70), ShortageFleet.QUESTION))
+
+    @Test
+    fun `service is back to normal after a burst of the class in the middle`() =
+        assertBackToNormal(ShortageBurst(ShortageFleet(SEED, 70), ShortageFleet.REPORT))
+
+    /** Guards against rejections that waste capacity, by the true state of the servers. */
+    @Test
+    fun `no request is rejected while a tenth of all slots is free`() {
+        val rejections = ShortageBurst(ShortageFleet(SEED, 70), ShortageFleet.TAG).fleet.rejections
+        assertEquals(0, rejections.count { it.isRoomLeft }, "of ${rejections.size} rejections")
+    }
+
     @Test
     fun `70 entries keep to shares while the most urgent class is hot`() = assertShares(
         burst(70, ShortageFleet.QUESTION),
