--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
@@ -110,6 +110,7 @@
                 rejectionAgesMillis = emptyMap(),
                 serverObservations = emptyList(),
                 usageReport = null,
+                demand = emptyList(),
             )
         }
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -74,6 +74,10 @@
 
     /** Earliest arrival of the connection that is being accepted, null where it is not known. */
     var acceptedSince: MonotonicTime? = null
+    val shortage = ShortageControl(this)
+
+    /** Takes in what peers report. */
+    val peerReports = PeerReports(this)
     val environment =
         ForwardEnvironment(
             chooseServer = ::chooseServer,
@@ -156,6 +160,7 @@
         serverConnections.closeUnlisted(fleet)
         serverEndDetector.fleetChanged()
         relays.retainServices()
+        shortage.update(fleet)
     }
 
     /** Records that a call that began at [at] or later, by [clock], confirmed the configuration as current. */
@@ -185,6 +190,7 @@
     private fun tick() {
         val now = now()
         loopDelay.awoke(now)
+        shortage.admission.tick(now)
         for (exchange in exchanges.toList()) {
             val isDone = log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "tick") { exchange.tick(now) }
             if (!isDone) log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "end") { exchange.stop() }
@@ -197,6 +203,7 @@
     fun closeIdleConnections() {
         val now = now()
         admissions.report()
+        shortage.admission.tick(now)
         storeQuarantineChanges()
         serverConnections.closeIdle(now)
         callerConnections.toList().forEach { connection ->
@@ -251,62 +258,9 @@
                 it.key.value to it.value.inWholeMilliseconds
             },
             serverObservations = loadBalancer.observations.newest(now()),
+            demand = shortage.admission.report(now()),
         )
 
-    /**
-     * Records what peers admitted and which limits servers named to them, by their [heartbeats].
-     *
-     * [live] names all live entries and [known] counts those that may be alive, this one included.
-     */
-    fun acceptHeartbeats(heartbeats: List<EntryHeartbeat>, live: Set<String>, known: Int) {
-        val now = now()
-        quotas.updateLiveEntries(live, known, now)
-        loadBalancer.requestLimits.retainPeers(live)
-        loadBalancer.brittleServers.retainPeers(live)
-        relays.acceptHeartbeats(heartbeats, live)
-        for (heartbeat in heartbeats) {
-            log.runGuarded(LogEvent.CONTROL_TASK_FAILED, "heartbeat of ${heartbeat.name}") { accept(heartbeat, now) }
-        }
-    }
-
-    private fun accept(heartbeat: EntryHeartbeat, now: MonotonicTime) {
-        loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
-        recordObservations(heartbeat.serverObservations, now)
-        heartbeat.quarantine.ends.forEach {
-            loadBalancer.notices.recordEnded(it.incarnation, now - it.ageMillis.milliseconds)
-            serverEndDetector.peerReportedEnd(it.incarnation)
-        }
-        quarantine.recordPeer(heartbeat.quarantine, now)
-        loadBalancer.brittleServers.recordPeer(
-            heartbeat.name,
-            heartbeat.brittleServices.mapKeys { ServiceName(it.key) },
-        )
-        heartbeat.rejectionAgesMillis.forEach { (service, age) ->
-            loadBalancer.brittleServers.recordRejection(ServiceName(service), now - age.milliseconds)
-        }
-        loadBalancer.requestLimits.recordPeer(
-            heartbeat.name,
-            heartbeat.requestLimits.mapKeys { BackendServerId(it.key) },
-            heartbeat.liftedLimits.mapTo(HashSet()) { BackendServerId(it) },
-        )
-        recordUsage(heartbeat, now)
-    }
-
-    private fun recordObservations(observations: List<ServerObservation>, now: MonotonicTime) {
-        if (observations.isEmpty()) return
-        metrics.observationsRecorded("peer", loadBalancer.observations.recordPeer(observations, now))
-    }
-
-    private fun recordUsage(heartbeat: EntryHeartbeat, now: MonotonicTime) {
-        val report = heartbeat.usageReport
-        if (report == null) {
-            val admitted = heartbeat.admitted.mapKeys { WorkspaceId(it.key) }
-            return quotas.recordPeerUsage(heartbeat.name, heartbeat.incarnation, admitted, now)
-        }
-        val own = with(heartbeat) { RelayedUsage(name, incarnation, sequence, admitted, report.requested) }
-        quotas.recordPeerReport(settings.name, own, report.relayed, now)
-    }
-
     private companion object {
         const val TICK_INTERVAL_MILLIS = 40L
         const val URGENT_REPORT_DELAY_MILLIS = 20L
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -51,10 +51,12 @@
     private val settings = dataPlane.settings
     private val newHeartbeats = ArrayList<EntryHeartbeat>()
     private var sequence = 0L
-    private var isHandoverScheduled = false
     private var usageSentAt: MonotonicTime? = null
     private var ownOpenRequests: Map<String, Int> = emptyMap()
     private var ownBusyServers: Map<String, Double> = emptyMap()
+
+    /** Hands over what has arrived within a short time, since all peers report while capacity is short. */
+    private val handOver = CoalescedCall(HAND_OVER_DELAY_MILLIS, ::handOverHeartbeats)
     private lateinit var channel: Channel
 
     val table = PeerTable(settings.name, startedAt = dataPlane.now())
@@ -126,7 +128,7 @@
         val live = table.livePeers(dataPlane.now()).map { it.name } + settings.name
         controlPlane.updateEntries(live.sorted())
         val known = table.knownEntries()
-        dataPlane.loop.execute { dataPlane.acceptHeartbeats(heartbeats, live.toSet(), known) }
+        dataPlane.loop.execute { dataPlane.peerReports.accept(heartbeats, live.toSet(), known) }
     }
 
     private fun sendHeartbeat(report: TrafficReport, isBroadcast: Boolean) {
@@ -197,6 +199,7 @@
             rejectionAgesMillis = report.rejectionAgesMillis,
             serverObservations = report.serverObservations,
             usageReport = report.usageReport,
+            demand = report.demand,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
@@ -224,22 +227,11 @@
         if (!table.recordHeartbeat(heartbeat, now)) return
         usageTotals.replaceCounts("${heartbeat.name}/${heartbeat.incarnation}", message.usage)
         newHeartbeats += heartbeat
-        if (heartbeat.quarantine.hasFreshEvidence) {
-            handOverHeartbeats()
-        } else if (table.isLargeFleet()) {
-            handOverSoon()
-        }
-    }
-
-    /** Hands over heartbeats within [HANDOVER_DELAY_MILLIS], because quotas of all entries go by what they report. */
-    private fun handOverSoon() {
-        if (isHandoverScheduled) return
-        isHandoverScheduled = true
-        val handOver = {
-            isHandoverScheduled = false
-            handOverHeartbeats()
+        val isUrgent = table.isLargeFleet() || heartbeat.demand.any { it.occupancy.isFull }
+        when {
+            heartbeat.quarantine.hasFreshEvidence -> handOverHeartbeats()
+            isUrgent -> handOver.request(channel.eventLoop())
         }
-        channel.eventLoop().schedule(handOver, HANDOVER_DELAY_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -259,7 +251,7 @@
     }
 
     private companion object {
-        const val HANDOVER_DELAY_MILLIS = 50L
+        const val HAND_OVER_DELAY_MILLIS = 50L
         const val MIN_JITTER = 0.9
         const val MAX_JITTER = 1.1
         val USAGE_SEND_INTERVAL = 800.milliseconds
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -116,6 +116,7 @@
         head.load?.let {
             dataPlane.loadBalancer.recordLoadReport(server.id, it, dataPlane.now())
             dataPlane.metrics.observationsRecorded("own", 1)
+            dataPlane.shortage.recordLoadReport(server, it, dataPlane.now())
         }
         head.keepAliveSeconds?.let { serverKeepAlive = it.seconds }
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -3,6 +3,7 @@
 import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.quarantine.QuarantineReport
 import org.yuccajunction.quota.UsageReport
+import org.yuccajunction.shortage.DemandReport
 
 /**
  * Holds the counts that the traffic thread hands to the control thread for the next heartbeat.
@@ -19,6 +20,7 @@
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
  * @property serverObservations newest reports of servers that name their pace
  * @property usageReport further counts of the usage of quotas
+ * @property demand what is requested of this entry, for services whose servers report their pace
  * @property quarantine what this entry knows of requests and prompt parts under which servers have ended
  */
 internal class TrafficReport(
@@ -35,4 +37,5 @@
     val rejectionAgesMillis: Map<String, Long>,
     val serverObservations: List<ServerObservation>,
     val usageReport: UsageReport,
+    val demand: List<DemandReport>,
 )
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -79,7 +79,7 @@
                 availabilityZone = "zone",
                 isReady = true,
             )
-        onLoop { dataPlane.acceptHeartbeats(listOf(heartbeat), setOf("entry", name), known = 2) }
+        onLoop { dataPlane.peerReports.accept(listOf(heartbeat), setOf("entry", name), known = 2) }
     }
 
     /** Returns the number of executions that this entry has counted for usage reports. */
