Weigh cached prompts by the traffic of services whose servers report a pace

Own requests and fixed fractions at two servers said little of what a server holds: an entry sends to a given server every 11 to 14 s. Hold probabilities now follow from the traffic of each prefix, the turnover time of the memory that running requests leave free, and the order of preferred servers.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/CandidateViews.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/CandidateViews.kt
@@ -14,7 +14,7 @@
         snapshot: FleetSnapshot,
         now: MonotonicTime,
     ): List<CandidateView> {
-        val affinity = PrefixAffinity(query.request, loads)
+        val affinity = observations.prompts.affinity(query.request, loads, snapshot.entries.size, now)
         return loads.map { load ->
             val isTried = load.server.id in query.excluded
             val holdReason = if (isTried) HoldReason.TRIED else permits.holdReason(load, snapshot, now)
@@ -29,20 +29,44 @@
         now: MonotonicTime,
     ): CandidateView {
         val prefillTokens = affinity.prefillTokens(load)
+        val placement = placement(load, request, affinity, now)
         return CandidateView(
             server = load.server,
             holdReason = null,
             isSuspect = load.isSuspect(now),
-            modelMillis = costs.predict(load, request, prefillTokens, now).millis,
+            modelMillis = costs.predict(load, request, prefillTokens, now, placement?.mustEndBefore ?: 0.0).millis,
             idleMillis = costs.idleMillis(request, prefillTokens),
-            latencyRatio = load.latencyRatio,
+            latencyRatio = placement?.pace ?: load.latencyRatio,
             failureFraction = load.failureFraction(now),
-            recomputedMillis = costs.rereadMillis(load, request, affinity.rereadTokens(load), now),
+            recomputedMillis =
+            placement?.besideMillis ?: costs.rereadMillis(load, request, affinity.rereadTokens(load), now),
             otherZoneMillis = costs.otherZoneMillis(load),
             knowledgeAgeMillis = load.knowledgeAgeMillis(now),
         )
     }
 
+    /** Returns how the prompt is placed at the server of [load], null where caches are not estimated by the traffic. */
+    private fun placement(
+        load: ServerLoad,
+        request: ForwardRequest,
+        affinity: PrefixAffinity,
+        now: MonotonicTime,
+    ): PromptPlacement? {
+        if (affinity !is LearnedPrefixAffinity || !request.route.isStream) return null
+        return PromptPlacement(
+            recomputedTokens = affinity.rereadTokens(load),
+            reuse = affinity.reuse(load),
+            millisPerToken = costs.millisPerToken(request),
+            pace = load.pace(now),
+            running = load.inFlight + maxOf(load.otherEntriesRequests(now), affinity.unreportedRequests(load)),
+            waiting = load.waitingRequests(now),
+            slots = load.server.slots,
+            freeMemoryTokens = affinity.freeMemoryTokens(load),
+            neededMemoryTokens = PromptCaches.runningTokens(request),
+            usualMemoryTokens = affinity.meanRunningTokens,
+        )
+    }
+
     private fun heldView(load: ServerLoad, holdReason: HoldReason): CandidateView =
         CandidateView(load.server, holdReason, isSuspect = false, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, 0)
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -133,14 +133,23 @@
     /** Counts an attempt of [request] that is being sent to [server], until [endAttempt] gets the returned ticket. */
     public fun beginAttempt(server: BackendServer, request: ForwardRequest, now: MonotonicTime): AttemptTicket {
         val load = observations.load(server.id) ?: return AttemptTicket(server.id, 0, now, prediction = null)
-        val prefillTokens = PrefixAffinity(request, candidateLoads(request.service)).prefillTokens(load)
+        val affinity = observations.prompts.affinity(
+            request,
+            candidateLoads(request.service),
+            snapshot.entries.size,
+            now,
+        )
+        val prefillTokens = affinity.prefillTokens(load)
         val prediction = observations.costs.predict(load, request, prefillTokens, now)
-        val ticket = AttemptTicket(server.id, prefillTokens, now, prediction, request.route, load.requests(now))
+        val runningTokens = PromptCaches.runningTokens(request)
+        val ticket =
+            AttemptTicket(server.id, prefillTokens, now, prediction, request.route, load.requests(now), runningTokens)
         snapshot.versions.trials[server.service]?.let { versionSplit.recordAttempt(it, server) }
         coldStarts.recordRequest(server)
         requestLimits.recordRequest(server.id)
         brittleServers.recordRequest(load, snapshot.entries)
         observations.recordAttempt(load, ticket, request, now)
+        observations.prompts.recordAttempt(affinity, request, load, now)
         return ticket
     }
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PrefixCacheEstimate.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PrefixCacheEstimate.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.fleet
 
 import org.yuccajunction.forward.PromptPart
+import org.yuccajunction.model.MonotonicTime
 
 /**
  * Estimates which parts of prompts a model engine holds in its cache, as a least-recently-used cache of parts.
@@ -8,9 +9,11 @@
  * @property capacityTokens most tokens that the cache is estimated to hold
  */
 public class PrefixCacheEstimate(private val capacityTokens: Long) {
-    private val parts = LinkedHashMap<String, Int>(INITIAL_PARTS, LOAD_FACTOR, true)
+    private val parts = LinkedHashMap<String, HeldPart>(INITIAL_PARTS, LOAD_FACTOR, true)
     private var tokens = 0L
 
+    private class HeldPart(val tokens: Int, val usedAt: MonotonicTime)
+
     /** Returns the number of tokens at the start of [prompt] that are in the cache. */
     public fun cachedTokens(prompt: List<PromptPart>): Int {
         var cached = 0
@@ -21,14 +24,17 @@
         return cached
     }
 
+    /** Returns when this entry last sent the part with [id], null if that is unknown. */
+    public fun usedAt(id: String): MonotonicTime? = parts[id]?.usedAt
+
     /** Adds the parts of [prompt] to the cache; evicts the least recently used parts above the capacity. */
-    public fun remember(prompt: List<PromptPart>) {
+    public fun remember(prompt: List<PromptPart>, now: MonotonicTime) {
         for (part in prompt) {
-            if (parts.put(part.id, part.tokens) == null) tokens += part.tokens
+            if (parts.put(part.id, HeldPart(part.tokens, now)) == null) tokens += part.tokens
         }
         val oldest = parts.entries.iterator()
         while (tokens > capacityTokens && oldest.hasNext()) {
-            tokens -= oldest.next().value
+            tokens -= oldest.next().value.tokens
             oldest.remove()
         }
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
@@ -19,8 +19,18 @@
     private val firstEvents = HashMap<ServiceName, FirstEventModel>()
     private val answers = HashMap<ServiceName, AnswerModel>()
 
-    /** Returns the prediction for [request] at the server of [load], with [prefillTokens] prompt tokens to process. */
-    fun predict(load: ServerLoad, request: ForwardRequest, prefillTokens: Int, now: MonotonicTime): LatencyPrediction {
+    /**
+     * Returns the prediction for [request] at the server of [load], with [prefillTokens] prompt tokens to process.
+     *
+     * At least [mustEndBefore] requests must end there before the request can begin.
+     */
+    fun predict(
+        load: ServerLoad,
+        request: ForwardRequest,
+        prefillTokens: Int,
+        now: MonotonicTime,
+        mustEndBefore: Double = 0.0,
+    ): LatencyPrediction {
         val openRequests = load.inFlight + load.otherEntriesRequests(now)
         if (!request.route.isStream) {
             val utilization = openRequests / load.server.slots.coerceAtLeast(1)
@@ -28,11 +38,14 @@
             return LatencyPrediction.Answer(request.route.name, utilization, millis)
         }
         val beyondSlots = openRequests + 1.0 - load.server.slots.coerceAtLeast(1)
-        val waiting = maxOf(load.waitingRequests(now), beyondSlots)
+        val waiting = maxOf(load.waitingRequests(now), beyondSlots, mustEndBefore)
         val state = EngineState(load.pendingPrefillTokens + prefillTokens, openRequests, waiting)
         return LatencyPrediction.FirstEvent(state, firstEventModel(request).predictMillis(state))
     }
 
+    /** Returns the milliseconds in which an engine of usual speed processes one prompt token of [request]. */
+    fun millisPerToken(request: ForwardRequest): Double = firstEventModel(request).millisPerToken
+
     /** Returns the prediction for [request] at an idle server, with [prefillTokens] prompt tokens to process. */
     fun idleMillis(request: ForwardRequest, prefillTokens: Int): Double {
         if (!request.route.isStream) return answerModel(request).predictMillis(request.route.name, utilization = 0.0)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
@@ -7,11 +7,26 @@
 import kotlin.math.roundToInt
 import kotlin.time.DurationUnit
 
-/** This entry's estimate of the load and the health of one incarnation of a backend server. */
-internal class ServerLoad(var server: BackendServer, kvCacheTokens: Long, firstSeenAt: MonotonicTime) {
+/**
+ * This entry's estimate of the load and the health of one incarnation of a backend server.
+ *
+ * @property emptySince when the server was listed after its start, null if it may have run before
+ */
+internal class ServerLoad(
+    var server: BackendServer,
+    kvCacheTokens: Long,
+    firstSeenAt: MonotonicTime,
+    val emptySince: MonotonicTime? = null,
+) {
     /** Hash of the server's identity, for prefix affinity by rendezvous hashing. */
     val hash = RendezvousHash.hash(server.id.value)
-    val prefixCache = PrefixCacheEstimate((kvCacheTokens * USABLE_CACHE_FRACTION).toLong())
+
+    /** Memory for prompts and answers, in tokens. */
+    val usableCacheTokens = kvCacheTokens * USABLE_CACHE_FRACTION
+    val prefixCache = PrefixCacheEstimate(usableCacheTokens.toLong())
+
+    /** Memory that this entry's open attempts take, in tokens, beside the prompt parts that others may share. */
+    var inFlightTokens = 0
 
     /** Open attempts of this entry. */
     var inFlight = 0
@@ -55,6 +70,12 @@
     /** Returns the estimated number of requests that wait at the server. */
     fun waitingRequests(now: MonotonicTime): Double = reportedWaiting * reportWeight(now)
 
+    /** Returns the multiple of the usual time that work takes, as last reported; later the usual time is assumed. */
+    fun pace(now: MonotonicTime): Double {
+        val reported = (lastReport?.pacePercent ?: return 1.0) / PERCENT
+        return 1.0 + (reported - 1.0) * exp(-(now - reportedAt).toDouble(DurationUnit.SECONDS) / PACE_DECAY_SECONDS)
+    }
+
     /** Returns the weight of the last load report, which decays exponentially from 1. */
     private fun reportWeight(now: MonotonicTime): Double =
         exp(-(now - reportedAt).toDouble(DurationUnit.SECONDS) / REPORT_DECAY_SECONDS)
@@ -106,6 +127,10 @@
         /** Time in which the weight of a load report falls to 1/e. */
         const val REPORT_DECAY_SECONDS = 3.0
 
+        /** The same for a reported pace, which changes about as fast. */
+        const val PACE_DECAY_SECONDS = 0.6
+        const val PERCENT = 100.0
+
         /** Successful attempts that are added to those counted, so that a single failure weighs less. */
         const val PRIOR_OUTCOMES = 2.0
         const val HALF = 0.5
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerObservations.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerObservations.kt
@@ -23,6 +23,7 @@
 ) {
     private val loads = HashMap<BackendServerId, ServerLoad>()
     private val work = HashMap<ServiceName, WorkMeter>()
+    internal val prompts = PromptCaches()
     internal val costs = ServerCostEstimator(settings, availabilityZone)
 
     internal fun load(server: BackendServerId): ServerLoad? = loads[server]
@@ -33,13 +34,15 @@
      * Returns the servers that are new or have restarted.
      */
     internal fun update(snapshot: FleetSnapshot, now: MonotonicTime): List<BackendServerId> {
+        val emptySince = now.takeIf { loads.isNotEmpty() }
         loads.keys.retainAll(snapshot.servers.keys)
         snapshot.configuration?.let {
             costs.retainServices(it.services.keys)
             work.keys.retainAll(it.services.keys)
+            prompts.retainServices(it.services.keys)
         }
         return snapshot.servers.values.filterNot { isKnown(it) }.map { server ->
-            loads[server.id] = ServerLoad(server, kvCacheTokens(snapshot, server), now)
+            loads[server.id] = ServerLoad(server, kvCacheTokens(snapshot, server), now, emptySince)
             server.id
         }
     }
@@ -65,7 +68,7 @@
         load.inFlight += 1
         if (!request.route.mayRepeat) load.inFlightUnrepeatable += 1
         load.pendingPrefillTokens += ticket.prefillTokens
-        load.prefixCache.remember(request.promptParts)
+        load.inFlightTokens += ticket.runningTokens
     }
 
     /** Records that the first event or the whole answer of an attempt has arrived; a later call counts as activity. */
@@ -89,12 +92,15 @@
 
     /** Records the load that [server] reports. */
     internal fun recordLoadReport(server: BackendServerId, report: LoadReport, now: MonotonicTime) {
-        loads[server]?.recordLoadReport(report, now)
+        val load = loads[server] ?: return
+        load.recordLoadReport(report, now)
+        if (report.pacePercent != null) prompts.recordPace(load.server.service, now)
     }
 
     /** Records the end of the attempt of [ticket], see [LoadBalancer.endAttempt]. */
     internal fun recordEnd(load: ServerLoad, ticket: AttemptTicket, end: AttemptEnd?, now: MonotonicTime) {
         load.inFlight = maxOf(0, load.inFlight - 1)
+        load.inFlightTokens = maxOf(0, load.inFlightTokens - ticket.runningTokens)
         if (ticket.route?.mayRepeat == false) load.inFlightUnrepeatable = maxOf(0, load.inFlightUnrepeatable - 1)
         if (!ticket.hasAnswer) load.pendingPrefillTokens = maxOf(0, load.pendingPrefillTokens - ticket.prefillTokens)
         load.recordOutcome(failureWeight(end), now)
