--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -72,13 +72,21 @@
      */
     public fun compare(query: ServerQuery, now: MonotonicTime, random: Random): ServerSelection {
         val all = candidateLoads(query.request.service)
-        val selections = groups(all, query, now).map { ServerSelector.select(views(it, query, now), random) }
-        return ServerSelection(selections.flatMap { it.candidates }, selections.firstNotNullOfOrNull { it.chosen })
+        val groups = groups(all, query, now, isRecorded = false)
+        val selections = groups.map { ServerSelector.select(views(it, query, now), random) }
+        val chosen = selections.firstNotNullOfOrNull { it.chosen }
+        val refusal = chosen?.terms?.let { refusalMillis(chosen.server, it, query, now) }
+        return ServerSelection(selections.flatMap { it.candidates }, chosen, isTooLate = refusal != null)
     }
 
-    private fun groups(all: List<ServerLoad>, query: ServerQuery, now: MonotonicTime): List<List<ServerLoad>> {
+    private fun groups(
+        all: List<ServerLoad>,
+        query: ServerQuery,
+        now: MonotonicTime,
+        isRecorded: Boolean = true,
+    ): List<List<ServerLoad>> {
         val trial = snapshot.versions.trials[query.request.service]
-        return if (trial == null) listOf(all) else versionSplit.groups(trial, all, query, now)
+        return if (trial == null) listOf(all) else versionSplit.groups(trial, all, query, now, isRecorded)
     }
 
     private fun chooseAmong(all: List<ServerLoad>, query: ServerQuery, now: MonotonicTime): ServerChoice {
@@ -99,12 +107,19 @@
         terms: CandidateTerms,
         query: ServerQuery,
         now: MonotonicTime,
-    ): ServerChoice {
+    ): ServerChoice = refusalMillis(server, terms, query, now)?.let(::noCapacity) ?: ServerChoice.Use(server)
+
+    /** Returns the delay in milliseconds of a retry if a request would be too late at [server], else null. */
+    private fun refusalMillis(
+        server: BackendServer,
+        terms: CandidateTerms,
+        query: ServerQuery,
+        now: MonotonicTime,
+    ): Int? {
         val remainingMillis = (query.request.deadline - now).toDouble(DurationUnit.MILLISECONDS)
-        if (terms.predictedMillis > remainingMillis * DEADLINE_FRACTION) return noCapacity()
-        val isFirstAttempt = query.excluded.isEmpty()
-        val wait = if (isFirstAttempt) tooLongWaitMillis(server, query.request, terms, now) else null
-        return if (wait == null) ServerChoice.Use(server) else noCapacity(wait.toInt())
+        if (terms.predictedMillis > remainingMillis * DEADLINE_FRACTION) return NO_CAPACITY_RETRY_MILLIS
+        if (query.excluded.isNotEmpty()) return null
+        return tooLongWaitMillis(server, query.request, terms, now)?.toInt()
     }
 
     /** Returns the time until the first pause has ended if all servers of [loads] asked for one, else null. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PromptTraffic.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PromptTraffic.kt
@@ -82,7 +82,7 @@
         return maxOf(usual, recent)
     }
 
-    /** Returns the fractions of the requests with the part [id] that go to the servers of each rank, the others last. */
+    /** Returns the fractions of the requests with the part [id] that servers of each rank get, the others last. */
     fun fractionsByRank(id: String, now: MonotonicTime): DoubleArray {
         val own = parts[id]
         val usual = usualFractions(now)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
@@ -71,7 +71,7 @@
             ensure(!dataPlane.rejectsNewRequests(received.receivedAt)) {
                 Rejection.Temporary(RefusalCause.ENTRY_LEAVING, Duration.ZERO)
             }
-            ensure(dataPlane.openExchangeCount < MAX_OPEN_EXCHANGES) { temporaryRejection(RefusalCause.ENTRY_LIMIT) }
+            ensure(!isFull(dataPlane)) { temporaryRejection(RefusalCause.ENTRY_LIMIT) }
             val route = ensureNotNull(route(configuration, received)) { rejectUnknown(NOT_FOUND, "unknown-route") }
             val head = dataPlane.wire.readRequest(received.head.headers())
             val id = ensureNotNull(head.requestId) { Rejection.Permanent(BAD_REQUEST, "missing-identity") }
@@ -85,7 +85,7 @@
         configuration: ForwardConfiguration,
         head: RequestHead,
     ): WorkspacePolicy {
-        ensure(!areKeysUnconfirmed()) { temporaryRejection(RefusalCause.UNCONFIRMED_KEYS) }
+        ensure(!areKeysUnconfirmed(dataPlane)) { temporaryRejection(RefusalCause.UNCONFIRMED_KEYS) }
         return ensureNotNull(head.key?.let { configuration.workspacesByKey[it] }) {
             rejectUnknown(UNAUTHORIZED, "unknown-key")
         }
@@ -135,12 +135,6 @@
         return Exchange(dataPlane, caller, admitted.request, received.head, received.body, admitted.charge)
     }
 
-    /** Returns whether the last confirmation is so old that a key may have been revoked since. */
-    private fun areKeysUnconfirmed(): Boolean {
-        val age = dataPlane.confirmationAge() ?: return true
-        return age >= dataPlane.settings.bounds.maxConfirmationAge - CONFIRMATION_MARGIN
-    }
-
     /**
      * Returns the rejection of an unknown route or key.
      *
@@ -175,15 +169,24 @@
         class Permanent(val status: Int, override val code: String) : Rejection
     }
 
-    private companion object {
-        const val NOT_FOUND = 404
-        const val BAD_REQUEST = 400
-        const val UNAUTHORIZED = 401
-        const val MAX_OPEN_EXCHANGES = 1_000
-        const val MAX_LOGGED_PATH_CHARS = 100
-        const val MIN_RETRY_AFTER_MILLIS = 200
-        const val MAX_RETRY_AFTER_MILLIS = 700
-        val CONFIRMATION_MARGIN = 150.milliseconds
-        val MAX_CURRENT_AGE = 1_900.milliseconds
+    companion object {
+        private const val NOT_FOUND = 404
+        private const val BAD_REQUEST = 400
+        private const val UNAUTHORIZED = 401
+        private const val MAX_OPEN_EXCHANGES = 1_000
+        private const val MAX_LOGGED_PATH_CHARS = 100
+        private const val MIN_RETRY_AFTER_MILLIS = 200
+        private const val MAX_RETRY_AFTER_MILLIS = 700
+        private val CONFIRMATION_MARGIN = 150.milliseconds
+        private val MAX_CURRENT_AGE = 1_900.milliseconds
+
+        /** Returns whether the entry has as many open requests as it takes. */
+        fun isFull(dataPlane: DataPlane): Boolean = dataPlane.openExchangeCount >= MAX_OPEN_EXCHANGES
+
+        /** Returns whether the last confirmation is so old that a key may have been revoked since. */
+        fun areKeysUnconfirmed(dataPlane: DataPlane): Boolean {
+            val age = dataPlane.confirmationAge() ?: return true
+            return age >= dataPlane.settings.bounds.maxConfirmationAge - CONFIRMATION_MARGIN
+        }
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -91,7 +91,14 @@
         val listeners = Listeners(controlGroup)
         listeners.listenForSmallRequests(settings.readinessEndpoint) { answers.readiness(it, controlPlane.isReady()) }
         listeners.listenForSmallRequests(settings.addressEndpoint) { answers.addresses(it, callerAddresses()) }
-        listeners.listenForSmallRequests(settings.metricsEndpoint) { SmallAnswer(OK, metrics.scrape()) }
+        val explainer = RequestExplainer(dataPlane)
+        listeners.listenForDeferredRequests(settings.metricsEndpoint) { uri, reply ->
+            if (explainer.isFor(uri)) {
+                dataPlane.loop.execute { reply(explainer.answer(uri)) }
+            } else {
+                reply(SmallAnswer(OK, metrics.scrape()))
+            }
+        }
     }
 
     private fun callerAddresses(): List<String> {
