--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -155,6 +155,7 @@
             now,
         )
         val prefillTokens = affinity.prefillTokens(load)
+        observations.costs.keepModel(request)
         val prediction = observations.costs.predict(load, request, prefillTokens, now)
         val runningTokens = PromptCaches.runningTokens(request)
         val ticket =
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
@@ -52,6 +52,15 @@
         return firstEventModel(request).predictMillis(EngineState(prefillTokens, running = 0.0, waiting = 0.0))
     }
 
+    /** Keeps the model of the service of [request], which is sent; an explained request must not set its prior. */
+    fun keepModel(request: ForwardRequest) {
+        if (request.route.isStream) {
+            firstEvents.putIfAbsent(request.service, firstEventModel(request))
+        } else {
+            answers.putIfAbsent(request.service, answerModel(request))
+        }
+    }
+
     /** Learns that what was predicted for a request of [service] took [measuredMillis]. */
     fun learn(service: ServiceName, prediction: LatencyPrediction, measuredMillis: Double) {
         when (prediction) {
@@ -96,10 +105,10 @@
         if (load.server.availabilityZone == availabilityZone) 0.0 else settings.otherZoneMillis
 
     private fun firstEventModel(request: ForwardRequest): FirstEventModel =
-        firstEvents.getOrPut(request.service) { FirstEventModel(targetMillis(request), request.promptTokens) }
+        firstEvents[request.service] ?: FirstEventModel(targetMillis(request), request.promptTokens)
 
     private fun answerModel(request: ForwardRequest): AnswerModel =
-        answers.getOrPut(request.service) { AnswerModel(targetMillis(request)) }
+        answers[request.service] ?: AnswerModel(targetMillis(request))
 
     private fun targetMillis(request: ForwardRequest): Double =
         request.route.latencyTarget.toDouble(DurationUnit.MILLISECONDS)
