--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerLoad.kt
@@ -7,12 +7,17 @@
 import kotlin.math.roundToInt
 import kotlin.time.DurationUnit
 
-/** This entry's estimate of the load and the health of one incarnation of a backend server. */
+/**
+ * This entry's estimate of the load and the health of one incarnation of a backend server.
+ *
+ * @property emptySince when the server was listed after its start, null if it may have run before
+ */
 internal class ServerLoad(
     var server: BackendServer,
     kvCacheTokens: Long,
     firstSeenAt: MonotonicTime,
     traffic: ServiceTraffic,
+    val emptySince: MonotonicTime? = null,
 ) {
     /** What the server reports of itself; in use once a server of the service has reported its pace. */
     val reported = ReportedState(traffic)
@@ -25,7 +30,13 @@
 
     /** Hash of the server's identity, for prefix affinity by rendezvous hashing. */
     val hash = RendezvousHash.hash(server.id.value)
-    val prefixCache = PrefixCacheEstimate((kvCacheTokens * USABLE_CACHE_FRACTION).toLong())
+
+    /** Memory for prompts and answers, in tokens. */
+    val usableCacheTokens = kvCacheTokens * USABLE_CACHE_FRACTION
+    val prefixCache = PrefixCacheEstimate(usableCacheTokens.toLong())
+
+    /** Memory that this entry's open attempts take, in tokens, beside the prompt parts that others may share. */
+    var inFlightTokens = 0
 
     /** Open attempts of this entry. */
     var inFlight = 0
@@ -53,6 +64,7 @@
     /** The last load report that names the running and the waiting requests, null before the first. */
     var lastReport: LoadReport? = null
         private set
+
     private var failures = 0.0
     private var outcomes = 0.0
     private var outcomesAt = firstSeenAt
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerObservations.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerObservations.kt
@@ -25,6 +25,7 @@
     private val traffic = HashMap<ServiceName, ServiceTraffic>()
     private val loadsByIncarnation = HashMap<Int, ServerLoad>()
     private val work = HashMap<ServiceName, WorkMeter>()
+    internal val prompts = PromptCaches()
     internal val costs = ServerCostEstimator(settings, availabilityZone)
 
     internal fun load(server: BackendServerId): ServerLoad? = loads[server]
@@ -35,12 +36,14 @@
      * Returns the servers that are new or have restarted.
      */
     internal fun update(snapshot: FleetSnapshot, now: MonotonicTime): List<BackendServerId> {
+        val emptySince = now.takeIf { loads.isNotEmpty() }
         loads.keys.retainAll(snapshot.servers.keys)
         snapshot.configuration?.let {
             costs.retainServices(it.services.keys)
             work.keys.retainAll(it.services.keys)
+            prompts.retainServices(it.services.keys)
         }
-        val changed = addUnknown(snapshot, now)
+        val changed = addUnknown(snapshot, now, emptySince)
         if (changed.isNotEmpty() || loadsByIncarnation.size != loads.size) {
             traffic.keys.retainAll(loads.values.mapTo(HashSet()) { it.server.service })
             loadsByIncarnation.clear()
@@ -49,9 +52,14 @@
         return changed
     }
 
-    private fun addUnknown(snapshot: FleetSnapshot, now: MonotonicTime): List<BackendServerId> =
+    private fun addUnknown(
+        snapshot: FleetSnapshot,
+        now: MonotonicTime,
+        emptySince: MonotonicTime?,
+    ): List<BackendServerId> =
         snapshot.servers.values.filterNot { isKnown(it) }.map { server ->
-            loads[server.id] = ServerLoad(server, kvCacheTokens(snapshot, server), now, traffic(server.service, now))
+            loads[server.id] =
+                ServerLoad(server, kvCacheTokens(snapshot, server), now, traffic(server.service, now), emptySince)
             server.id
         }
 
@@ -59,9 +67,9 @@
         traffic.getOrPut(service) { ServiceTraffic(now, settings.paceValidity) }
 
     /**
-     * Returns what peers are told of the servers that report their pace: the newest reports, a few of them.
+     * Returns what this entry reports of the servers that report their pace: the newest reports, a few of them.
      *
-     * Reports that peers have told are passed on, so that a report reaches entries which its finder tells nothing.
+     * Reports of peers are passed on, so that a report reaches entries to which its first receiver sends no heartbeat.
      */
     public fun newest(now: MonotonicTime): List<ServerObservation> {
         if (traffic.values.none { it.isPaced }) return emptyList()
@@ -98,7 +106,7 @@
         load.inFlight += 1
         if (!request.route.mayRepeat) load.inFlightUnrepeatable += 1
         load.pendingPrefillTokens += ticket.prefillTokens
-        load.prefixCache.remember(request.promptParts)
+        load.inFlightTokens += ticket.runningTokens
     }
 
     /** Records that the first event or the whole answer of an attempt has arrived; a later call counts as activity. */
@@ -133,13 +141,16 @@
 
     /** Records the load that [server] reports. */
     internal fun recordLoadReport(server: BackendServerId, report: LoadReport, now: MonotonicTime) {
-        loads[server]?.recordLoadReport(report, now)
+        val load = loads[server] ?: return
+        load.recordLoadReport(report, now)
+        if (report.pacePercent != null) prompts.recordPace(load.server.service, now)
     }
 
     /** Records the end of the attempt of [ticket], see [LoadBalancer.endAttempt]. */
     internal fun recordEnd(load: ServerLoad, ticket: AttemptTicket, end: AttemptEnd?, now: MonotonicTime) {
         load.inFlight = maxOf(0, load.inFlight - 1)
         if (end == null) load.reported.traffic.recordResidence(now - ticket.startedAt)
+        load.inFlightTokens = maxOf(0, load.inFlightTokens - ticket.runningTokens)
         if (ticket.route?.mayRepeat == false) load.inFlightUnrepeatable = maxOf(0, load.inFlightUnrepeatable - 1)
         if (!ticket.hasAnswer) load.pendingPrefillTokens = maxOf(0, load.pendingPrefillTokens - ticket.prefillTokens)
         load.recordOutcome(failureWeight(end, load), now)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -257,8 +257,8 @@
             loadBalancer.brittleServers.rejectionAges(now()).entries.associate {
                 it.key.value to it.value.inWholeMilliseconds
             },
-            serverObservations = loadBalancer.observations.newest(now()),
-            demand = shortage.admission.report(now()),
+            pacedServices =
+            PacedServiceReport(loadBalancer.observations.newest(now()), shortage.admission.report(now())),
         )
 
     private companion object {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -197,9 +197,9 @@
             unreachableServices = report.unreachableServices,
             brittleServices = report.brittleServices,
             rejectionAgesMillis = report.rejectionAgesMillis,
-            serverObservations = report.serverObservations,
+            serverObservations = report.pacedServices.observations,
             usageReport = report.usageReport,
-            demand = report.demand,
+            demand = report.pacedServices.demand,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerReports.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerReports.kt
@@ -39,7 +39,9 @@
             dataPlane.serverEndDetector.peerReportedEnd(it.incarnation)
         }
         dataPlane.quarantine.recordPeer(heartbeat.quarantine, now)
-        dataPlane.shortage.admission.recordPeer(heartbeat.name, heartbeat.demand, now)
+        if (dataPlane.settings.usesReportedPace) {
+            dataPlane.shortage.admission.recordPeer(heartbeat.name, heartbeat.demand, now)
+        }
         dataPlane.loadBalancer.brittleServers.recordPeer(
             heartbeat.name,
             heartbeat.brittleServices.mapKeys { ServiceName(it.key) },
@@ -56,7 +58,7 @@
     }
 
     private fun recordObservations(observations: List<ServerObservation>, now: MonotonicTime) {
-        if (observations.isEmpty()) return
+        if (observations.isEmpty() || !dataPlane.settings.usesReportedPace) return
         dataPlane.metrics.observationsRecorded(
             "peer",
             dataPlane.loadBalancer.observations.recordPeer(observations, now),
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -1,9 +1,7 @@
 package org.yuccajunction.gateway
 
-import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.quarantine.QuarantineReport
 import org.yuccajunction.quota.UsageReport
-import org.yuccajunction.shortage.DemandReport
 
 /**
  * Holds the counts that the traffic thread hands to the control thread for the next heartbeat.
@@ -18,9 +16,8 @@
  * @property unreachableServices services of which this entry reaches no server
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
- * @property serverObservations newest reports of servers that name their pace
  * @property usageReport further counts of the usage of quotas
- * @property demand what is requested of this entry, for services whose servers report their pace
+ * @property pacedServices what this entry observes and is asked for of services whose servers report their pace
  * @property quarantine what this entry knows of requests and prompt parts under which servers have ended
  */
 internal class TrafficReport(
@@ -35,7 +32,6 @@
     val unreachableServices: List<String>,
     val brittleServices: Map<String, Double>,
     val rejectionAgesMillis: Map<String, Long>,
-    val serverObservations: List<ServerObservation>,
     val usageReport: UsageReport,
-    val demand: List<DemandReport>,
+    val pacedServices: PacedServiceReport,
 )
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -44,6 +44,7 @@
     private val anyPort = Endpoint(loopback, 0)
     private val settings =
         GatewaySettings("entry", AvailabilityZone("zone"), anyPort, anyPort, anyPort, anyPort, anyPort, anyPort)
+            .copy(usesReportedPace = true)
 
     /** Time in milliseconds for which the machine appears to have been suspended. */
     @Volatile
