--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -83,11 +83,6 @@
         LogLevel.WARN,
         "The predicted latencies of a service differ from the measured ones by a large factor.",
     ),
-    CAPACITY_SHORT(
-        7007,
-        LogLevel.WARN,
-        "Requests to a service were rejected because demand exceeds its capacity; written at most once a second.",
-    ),
     ENTRY_OVERLOADED(
         7010,
         LogLevel.WARN,
@@ -137,9 +132,4 @@
         LogLevel.ERROR,
         "A task of the control thread has failed; a repeating task is started again.",
     ),
-    STORE_ERA_RISEN(
-        9016,
-        LogLevel.WARN,
-        "The store was restored from an older copy; the entry lists and registers again.",
-    ),
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrderPlanner.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/CapacityOrderPlanner.kt
@@ -6,7 +6,6 @@
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
-import org.yuccajunction.port.DutyOutcome
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -55,9 +54,9 @@
     private fun releasesAnyOf(kept: Collection<BackendServer>, order: CapacityOrder): Boolean =
         order.desired < kept.count { it.availabilityZone == order.zone && it.isReclaimable == order.isReclaimable }
 
-    /** Records the [outcome] of sending [order] at [now]. */
-    public fun recordAnswer(order: CapacityOrder, outcome: DutyOutcome, now: MonotonicTime) {
-        lastOrders[OrderKey(order.service, order.zone, order.isReclaimable)] = LastOrder(order.desired, outcome, now)
+    /** Records that the platform accepted or refused [order] at [now]. */
+    public fun recordAnswer(order: CapacityOrder, isAccepted: Boolean, now: MonotonicTime) {
+        lastOrders[OrderKey(order.service, order.zone, order.isReclaimable)] = LastOrder(order.desired, isAccepted, now)
     }
 
     /** Clears the recorded orders when this entry takes the duties over, since another entry may have ordered. */
@@ -83,7 +82,7 @@
 
     private fun isRecentlyRefused(state: ServiceState, zone: AvailabilityZone): Boolean {
         val last = lastOrders[OrderKey(state.service, zone, true)] ?: return false
-        return last.isRefused && state.now - last.answeredAt < REFUSAL_VALIDITY
+        return !last.isAccepted && state.now - last.answeredAt < REFUSAL_VALIDITY
     }
 
     private fun reclaimableOrder(state: ServiceState, zone: AvailabilityZone, count: Int): CapacityOrder? {
@@ -94,9 +93,8 @@
         val isMissing = present < count
         val isDue =
             when {
-                last.isRefused -> age >= if (isMissing) REFUSAL_RETRY_DELAY else REFUSAL_VALIDITY
+                !last.isAccepted -> age >= if (isMissing) REFUSAL_RETRY_DELAY else REFUSAL_VALIDITY
                 last.desired != count -> true
-                last.outcome is DutyOutcome.Unknown -> age >= REFUSAL_RETRY_DELAY
                 else -> isMissing && age >= state.rule.startupDuration + REORDER_MARGIN
             }
         return order.takeIf { isDue }
@@ -172,7 +170,7 @@
     private fun expectedServers(state: ServiceState, zone: AvailabilityZone, isReclaimable: Boolean): Int {
         val last = lastOrders[OrderKey(state.service, zone, isReclaimable)] ?: return 0
         val isRecent = state.now - last.answeredAt < state.rule.startupDuration + START_MARGIN
-        return if (!last.isRefused && isRecent) last.desired else 0
+        return if (last.isAccepted && isRecent) last.desired else 0
     }
 
     private class ServiceState(
@@ -194,16 +192,13 @@
 
     private data class OrderKey(val service: ServiceName, val zone: AvailabilityZone, val isReclaimable: Boolean)
 
-    /** The last order for a zone; one whose answer was lost may have taken effect, so it counts as accepted. */
-    private class LastOrder(val desired: Int, val outcome: DutyOutcome, val answeredAt: MonotonicTime) {
-        val isRefused: Boolean get() = outcome is DutyOutcome.Refused
-    }
+    private class LastOrder(val desired: Int, val isAccepted: Boolean, val answeredAt: MonotonicTime)
 
     private companion object {
         /** Time for which a zone that refused an order counts as refusing. */
         val REFUSAL_VALIDITY = 6.seconds
 
-        /** Time after which an order is repeated that was refused while servers are missing, or got no answer. */
+        /** Time after which a refused order is repeated if servers are missing in the zone. */
         val REFUSAL_RETRY_DELAY = 3.seconds
 
         /** Time beyond a server's start time after which an accepted order is repeated if servers are still missing. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -38,12 +38,6 @@
     private var acquisition: Acquisition? = null
     private var renewedAt: MonotonicTime? = null
 
-    /** Totals of the records that this entry has read or written, which an older copy of the store may lack. */
-    private var knownTotals: Map<Long, Map<String, Int>> = emptyMap()
-    private var knownBaseline: Map<String, Map<String, Int>> = emptyMap()
-    private var highestKnownNumber = 0L
-    private var lastOwnNumber: Long? = null
-
     /** The fencing number if the cached record names this incarnation as the holder, null otherwise. */
     public val fencingNumber: Long? get() = cached?.record?.takeIf(::isOwn)?.fencingNumber
 
@@ -72,7 +66,6 @@
             }
         cached = StoredRecord(record, reading.stored.version, now())
         isWriteOutcomeUnknown = false
-        remember(record)
         val isAcquired = acquisition?.fencingNumber == record.fencingNumber
         if (isOwn(record) && !isAcquired) acquisition = Acquisition(record.fencingNumber, now())
         return DutyReading.Found(record)
@@ -84,21 +77,6 @@
         isWriteOutcomeUnknown = false
     }
 
-    /** Records that an entry holds or held the lease under [fencingNumber]. */
-    public fun recordFencingNumber(fencingNumber: Long) {
-        highestKnownNumber = maxOf(highestKnownNumber, fencingNumber)
-    }
-
-    /**
-     * Records that the store was restored from an older copy, so that this entry no longer holds the lease.
-     *
-     * The next record takes a higher fencing number than any known one and the known totals, which the copy may lack.
-     */
-    public fun storeRestored() {
-        lastOwnNumber?.let { recordFencingNumber(it + 1) }
-        clearCache()
-    }
-
     /** Takes the duties over from the present holder, if any; returns whether this entry holds them now. */
     public suspend fun takeOver(): Boolean {
         val reading = readRecord()
@@ -109,9 +87,9 @@
             DutyRecord(
                 holder = holder,
                 incarnation = incarnation,
-                fencingNumber = maxOf(former?.fencingNumber ?: 0, highestKnownNumber) + 1,
-                totals = newestWindows(former?.totals.orEmpty() + knownTotals),
-                baseline = former?.baseline.orEmpty() + knownBaseline,
+                fencingNumber = (former?.fencingNumber ?: 0) + 1,
+                totals = former?.totals.orEmpty(),
+                baseline = former?.baseline.orEmpty(),
             )
         val lastForeignWriteBy = cached?.readAt ?: now()
         if (!write(record)) return false
@@ -134,10 +112,11 @@
         if (isWriteOutcomeUnknown) readRecord()
         val record = cached?.record?.takeIf { isOwn(it) && isTakeoverDelayOver(it) } ?: return null
         val writeStartedAt = now()
+        val keptTotals = (totals + record.totals).toSortedMap().entries.toList().takeLast(MAX_KEPT_WINDOWS)
         val next =
             record.copy(
                 renewals = record.renewals + 1,
-                totals = newestWindows(totals + record.totals),
+                totals = keptTotals.associate { it.key to it.value },
                 baseline = baseline + record.baseline,
             )
         renewedAt = writeStartedAt
@@ -150,24 +129,11 @@
         return now() - acquired.lastForeignWriteBy >= TAKEOVER_DELAY
     }
 
-    private fun newestWindows(totals: Map<Long, Map<String, Int>>): Map<Long, Map<String, Int>> =
-        totals.toSortedMap().entries.toList().takeLast(MAX_KEPT_WINDOWS).associate { it.key to it.value }
-
-    /** Keeps the totals and baselines of [record] where none are known yet. */
-    private fun remember(record: DutyRecord) {
-        knownTotals = newestWindows(record.totals + knownTotals)
-        knownBaseline = record.baseline + knownBaseline
-        if (isOwn(record)) lastOwnNumber = record.fencingNumber
-    }
-
     private suspend fun write(record: DutyRecord): Boolean {
         val expected = cached?.let { ExpectedVersion.Is(it.version) } ?: ExpectedVersion.Absent
         val writing = store.write(RECORD_KEY, Json.encodeToString(DutyRecord.serializer(), record), expected)
         when (writing) {
-            is ObjectWriting.Written -> {
-                cached = StoredRecord(record, writing.version, now())
-                remember(record)
-            }
+            is ObjectWriting.Written -> cached = StoredRecord(record, writing.version, now())
             is ObjectWriting.Refused -> Unit
             is ObjectWriting.Conflict -> clearCache()
             is ObjectWriting.Unknown -> {
@@ -178,9 +144,7 @@
         return writing is ObjectWriting.Written
     }
 
-    /** Returns whether [record] names this entry as the holder and is not from before another one was known. */
-    private fun isOwn(record: DutyRecord): Boolean =
-        record.holder == holder && record.incarnation == incarnation && record.fencingNumber >= highestKnownNumber
+    private fun isOwn(record: DutyRecord): Boolean = record.holder == holder && record.incarnation == incarnation
 
     private class StoredRecord(val record: DutyRecord, val version: ObjectVersion, val readAt: MonotonicTime)
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationAnswer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationAnswer.kt
@@ -12,8 +12,6 @@
  * @property confirmationAgeMillis milliseconds since the start of the last call in which the store confirmed
  *   the configuration
  * @property newestVersions store version of the newest change that the answering entry knows, by kind of object
- * @property storeEra era of the store to which all versions of the answer belong, 0 where it is unknown
- * @property relayedChanges changes after [ConfirmationQuestion.knownVersions]
  */
 @Serializable
 public data class ConfirmationAnswer(
@@ -23,8 +21,6 @@
     public val confirmationAgeMillis: Long,
     @SerialName("changes")
     public val newestVersions: Map<String, Long>,
-    public val storeEra: Long = 0,
-    public val relayedChanges: List<RelayedChanges> = emptyList(),
 ) {
     /**
      * Returns a time, by the clock of the asking entry, at which the answering entry's configuration was current.
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationSourceSelector.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/ConfirmationSourceSelector.kt
@@ -6,8 +6,8 @@
  * Selects where an entry gets the confirmation that its configuration is still current: from the store or a peer.
  *
  * In a large fleet only a few entries, the askers, ask the store. Each other entry asks the askers in rotation, so that
- * the rate of store calls stays small. Askers also ask each other, so that one whose watch is silent learns of it.
- * Rendezvous hashing over the live entries selects the askers, so entries that see the same fleet agree on them.
+ * the rate of store calls stays small. Rendezvous hashing over the live entries selects the askers, so entries that see
+ * the same fleet agree on them.
  *
  * @param ownName instance name of this entry
  */
@@ -17,11 +17,10 @@
     /** Returns whether this entry asks the store itself while [entries] are live. */
     public fun asksStore(entries: List<String>): Boolean = ownName in askers(entries)
 
-    /** Returns the name of the peer to ask next, in rotation; null where there is none. */
+    /** Returns the name of the peer to ask next, in rotation; null where this entry asks the store itself. */
     public fun nextPeer(entries: List<String>): String? {
-        if (entries.size <= MAX_ENTRIES_ALL_ASKING) return null
-        val askers = askers(entries).filter { it != ownName }
-        if (askers.isEmpty()) return null
+        val askers = askers(entries)
+        if (ownName in askers) return null
         rotation += 1
         return askers[rotation % askers.size]
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/EntryHeartbeat.kt
@@ -1,16 +1,9 @@
-@file:OptIn(ExperimentalSerializationApi::class)
-
 package org.yuccajunction.entries
 
-import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.protobuf.ProtoNumber
-import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.quarantine.QuarantineReport
-import org.yuccajunction.quota.UsageReport
 import org.yuccajunction.rollout.MoveReport
-import org.yuccajunction.shortage.DemandReport
 
 /**
  * The state that an entry reports to its peers.
@@ -36,12 +29,8 @@
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
  * @property quarantine what the entry knows of requests and prompt parts under which servers have ended
- * @property serverObservations newest reports of servers that name their pace, newest first, a few of them
- * @property usageReport further counts of the usage of quotas, null from entries that don't pass on counts
  * @property liftedLimits servers that have named a limit to the entry and no longer do
- * @property demand what is requested of the entry, for services whose servers report their pace
  */
-@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class EntryHeartbeat(
     public val name: String,
@@ -67,15 +56,4 @@
     public val unreachableServices: List<String> = emptyList(),
     public val brittleServices: Map<String, Double> = emptyMap(),
     public val rejectionAgesMillis: Map<String, Long> = emptyMap(),
-    @ProtoNumber(SERVER_OBSERVATIONS_NUMBER)
-    public val serverObservations: List<ServerObservation> = emptyList(),
-    @ProtoNumber(DEMAND_NUMBER)
-    public val demand: List<DemandReport> = emptyList(),
-    @ProtoNumber(USAGE_REPORT_NUMBER)
-    public val usageReport: UsageReport? = null,
 )
-
-/** Field numbers of the last properties; those of the properties before them are their positions. */
-private const val SERVER_OBSERVATIONS_NUMBER = 21
-private const val DEMAND_NUMBER = 22
-private const val USAGE_REPORT_NUMBER = 23
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/HeartbeatValues.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/HeartbeatValues.kt
@@ -1,8 +1,5 @@
 package org.yuccajunction.entries
 
-import org.yuccajunction.fleet.ServerObservation
-import org.yuccajunction.quota.RelayedUsage
-
 /** Longest age in milliseconds that a heartbeat can report; greater ones would overflow in sums of times. */
 private const val MAX_AGE_MILLIS = 86_400_000L
 
@@ -21,21 +18,6 @@
         brittleServices = brittleServices.filterValues(::isPlausible),
         rejectionAgesMillis = rejectionAgesMillis.filterValues { it in 0..MAX_AGE_MILLIS },
         quarantine = quarantine.copy(ends = quarantine.ends.filter { it.ageMillis in 0..MAX_AGE_MILLIS }),
-        serverObservations = serverObservations.filter(::isPlausible),
-        usageReport =
-        usageReport?.copy(
-            requested = usageReport.requested.filterValues(::isPlausible),
-            relayed = usageReport.relayed.map(::plausible),
-        ),
-    )
-
-private fun isPlausible(observation: ServerObservation): Boolean =
-    with(observation) { minOf(running, waiting, pacePercent, ageMillis, latencyRatioPercent, answers) >= 0 }
-
-private fun plausible(usage: RelayedUsage): RelayedUsage =
-    usage.copy(
-        admitted = usage.admitted.filterValues(::isPlausible),
-        requested = usage.requested.filterValues(::isPlausible),
     )
 
 private fun isPlausible(value: Double): Boolean = value.isFinite() && value >= 0.0
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/entries/PeerTable.kt
@@ -108,9 +108,6 @@
                 unreachableServices = emptyList(),
                 brittleServices = emptyMap(),
                 rejectionAgesMillis = emptyMap(),
-                serverObservations = emptyList(),
-                usageReport = null,
-                demand = emptyList(),
             )
         }
     }
@@ -158,9 +155,6 @@
         return (listOfNotNull(holder) + next).mapTo(LinkedHashSet()) { it.peerAddress }
     }
 
-    /** Returns whether a heartbeat reaches only some of the peers, so that peers pass on what others report. */
-    public fun isLargeFleet(): Boolean = peers.size > MAX_HEARTBEAT_TARGETS
-
     /** Returns the address for datagrams to the peer [name], null if the peer is not known. */
     public fun peerAddress(name: String): String? = peers[name]?.address
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/AttemptTicket.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/AttemptTicket.kt
@@ -11,7 +11,6 @@
  * @property prediction predicted time until the first event or the whole answer, null for an unlisted server
  * @property route route of the request, null for an unlisted server
  * @property requestsAtServer estimated requests that the server had when the attempt was sent
- * @property runningTokens memory that the request takes at the server while it runs, in tokens
  */
 public class AttemptTicket internal constructor(
     public val server: BackendServerId,
@@ -20,7 +19,6 @@
     internal val prediction: LatencyPrediction?,
     internal val route: ForwardRoute? = null,
     public val requestsAtServer: Int = 0,
-    internal val runningTokens: Int = 0,
 ) {
     internal var hasAnswer = false
     internal var isEnded = false
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/CandidateTerms.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/CandidateTerms.kt
@@ -31,16 +31,4 @@
     /** The sum of all terms. */
     public val totalMillis: Double
         get() = predictedMillis + failureMillis + otherZoneMillis + recomputedMillis + uncertaintyMillis
-
-    /** Returns the terms by the names under which logs and explanations print them. */
-    public fun byName(): Map<String, Double> =
-        mapOf(
-            "wait" to waitMillis,
-            "prefill" to prefillMillis,
-            "pace" to paceMillis,
-            "failure" to failureMillis,
-            "otherZone" to otherZoneMillis,
-            "recomputed" to recomputedMillis,
-            "uncertainty" to uncertaintyMillis,
-        )
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/CandidateView.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/CandidateView.kt
@@ -12,8 +12,6 @@
  * @property recomputedMillis see [CandidateTerms.recomputedMillis]
  * @property otherZoneMillis see [CandidateTerms.otherZoneMillis]
  * @property knowledgeAgeMillis see [CandidateTerms.knowledgeAgeMillis]
- * @property contentionMillis delay of the request if the server got all requests of the service, 0 if it does not count
- * @property rejectionMillis what rejections by the server cost on average, 0 if they count by [failureFraction] alone
  */
 internal class CandidateView(
     val server: BackendServer,
@@ -26,6 +24,4 @@
     val recomputedMillis: Double,
     val otherZoneMillis: Double,
     val knowledgeAgeMillis: Long,
-    val contentionMillis: Double,
-    val rejectionMillis: Double,
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LatencyPrediction.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LatencyPrediction.kt
@@ -6,8 +6,7 @@
     val millis: Double
 
     /** Time until the first event of a stream from an engine in [state]. */
-    class FirstEvent(val state: EngineState, override val millis: Double, val slotMillis: Double = 0.0) :
-        LatencyPrediction
+    class FirstEvent(val state: EngineState, override val millis: Double) : LatencyPrediction
 
     /** Time until the whole answer of an application with [utilization] to a request on [route]. */
     class Answer(val route: String, val utilization: Double, override val millis: Double) : LatencyPrediction
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancer.kt
@@ -72,21 +72,13 @@
      */
     public fun compare(query: ServerQuery, now: MonotonicTime, random: Random): ServerSelection {
         val all = candidateLoads(query.request.service)
-        val groups = groups(all, query, now, isRecorded = false)
-        val selections = groups.map { ServerSelector.select(views(it, query, now), random) }
-        val chosen = selections.firstNotNullOfOrNull { it.chosen }
-        val refusal = chosen?.terms?.let { refusalMillis(chosen.server, it, query, now) }
-        return ServerSelection(selections.flatMap { it.candidates }, chosen, isTooLate = refusal != null)
+        val selections = groups(all, query, now).map { ServerSelector.select(views(it, query, now), random) }
+        return ServerSelection(selections.flatMap { it.candidates }, selections.firstNotNullOfOrNull { it.chosen })
     }
 
-    private fun groups(
-        all: List<ServerLoad>,
-        query: ServerQuery,
-        now: MonotonicTime,
-        isRecorded: Boolean = true,
-    ): List<List<ServerLoad>> {
+    private fun groups(all: List<ServerLoad>, query: ServerQuery, now: MonotonicTime): List<List<ServerLoad>> {
         val trial = snapshot.versions.trials[query.request.service]
-        return if (trial == null) listOf(all) else versionSplit.groups(trial, all, query, now, isRecorded)
+        return if (trial == null) listOf(all) else versionSplit.groups(trial, all, query, now)
     }
 
     private fun chooseAmong(all: List<ServerLoad>, query: ServerQuery, now: MonotonicTime): ServerChoice {
@@ -107,19 +99,12 @@
         terms: CandidateTerms,
         query: ServerQuery,
         now: MonotonicTime,
-    ): ServerChoice = refusalMillis(server, terms, query, now)?.let(::noCapacity) ?: ServerChoice.Use(server)
-
-    /** Returns the delay in milliseconds of a retry if a request would be too late at [server], else null. */
-    private fun refusalMillis(
-        server: BackendServer,
-        terms: CandidateTerms,
-        query: ServerQuery,
-        now: MonotonicTime,
-    ): Int? {
+    ): ServerChoice {
         val remainingMillis = (query.request.deadline - now).toDouble(DurationUnit.MILLISECONDS)
-        if (terms.predictedMillis > remainingMillis * DEADLINE_FRACTION) return NO_CAPACITY_RETRY_MILLIS
-        if (query.excluded.isNotEmpty()) return null
-        return tooLongWaitMillis(server, query.request, terms, now)?.toInt()
+        if (terms.predictedMillis > remainingMillis * DEADLINE_FRACTION) return noCapacity()
+        val isFirstAttempt = query.excluded.isEmpty()
+        val wait = if (isFirstAttempt) tooLongWaitMillis(server, query.request, terms, now) else null
+        return if (wait == null) ServerChoice.Use(server) else noCapacity(wait.toInt())
     }
 
     /** Returns the time until the first pause has ended if all servers of [loads] asked for one, else null. */
@@ -141,31 +126,21 @@
     ): Double? {
         val load = observations.load(server.id) ?: return null
         if (!request.route.isStream || load.waitingRequests(now) < 1.0) return null
-        val idleMillis = terms.prefillMillis * load.speedFactor(now)
+        val idleMillis = terms.prefillMillis * load.latencyRatio
         return (terms.predictedMillis - idleMillis).takeIf { it > WaitLimit.longestMillis(request, idleMillis) }
     }
 
     /** Counts an attempt of [request] that is being sent to [server], until [endAttempt] gets the returned ticket. */
     public fun beginAttempt(server: BackendServer, request: ForwardRequest, now: MonotonicTime): AttemptTicket {
         val load = observations.load(server.id) ?: return AttemptTicket(server.id, 0, now, prediction = null)
-        val affinity = observations.prompts.affinity(
-            request,
-            candidateLoads(request.service),
-            snapshot.entries.size,
-            now,
-        )
-        val prefillTokens = affinity.prefillTokens(load)
-        observations.costs.keepModel(request)
+        val prefillTokens = PrefixAffinity(request, candidateLoads(request.service)).prefillTokens(load)
         val prediction = observations.costs.predict(load, request, prefillTokens, now)
-        val runningTokens = PromptCaches.runningTokens(request)
-        val ticket =
-            AttemptTicket(server.id, prefillTokens, now, prediction, request.route, load.requests(now), runningTokens)
+        val ticket = AttemptTicket(server.id, prefillTokens, now, prediction, request.route, load.requests(now))
         snapshot.versions.trials[server.service]?.let { versionSplit.recordAttempt(it, server) }
         coldStarts.recordRequest(server)
         requestLimits.recordRequest(server.id)
         brittleServers.recordRequest(load, snapshot.entries)
         observations.recordAttempt(load, ticket, request, now)
-        observations.prompts.recordAttempt(affinity, request, load, now)
         return ticket
     }
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancingSettings.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/LoadBalancingSettings.kt
@@ -12,12 +12,9 @@
  *   the timeout is longer for a service whose first events usually take longer
  * @property suspicionTime time for which an unreachable or silent server is suspected; meanwhile it gets requests
  *   only if no other server can take them
- * @property paceValidity time in which the pace of a machine changes; a reported pace counts for less and less until
- *   then, and not at all after it
  */
 public data class LoadBalancingSettings(
     public val otherZoneMillis: Double = 2.0,
     public val silenceTimeout: Duration = 800.milliseconds,
     public val suspicionTime: Duration = 2.seconds,
-    public val paceValidity: Duration = 600.milliseconds,
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PrefixCacheEstimate.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/PrefixCacheEstimate.kt
@@ -1,7 +1,6 @@
 package org.yuccajunction.fleet
 
 import org.yuccajunction.forward.PromptPart
-import org.yuccajunction.model.MonotonicTime
 
 /**
  * Estimates which parts of prompts a model engine holds in its cache, as a least-recently-used cache of parts.
@@ -9,11 +8,9 @@
  * @property capacityTokens most tokens that the cache is estimated to hold
  */
 public class PrefixCacheEstimate(private val capacityTokens: Long) {
-    private val parts = LinkedHashMap<String, HeldPart>(INITIAL_PARTS, LOAD_FACTOR, true)
+    private val parts = LinkedHashMap<String, Int>(INITIAL_PARTS, LOAD_FACTOR, true)
     private var tokens = 0L
 
-    private class HeldPart(val tokens: Int, val usedAt: MonotonicTime)
-
     /** Returns the number of tokens at the start of [prompt] that are in the cache. */
     public fun cachedTokens(prompt: List<PromptPart>): Int {
         var cached = 0
@@ -24,17 +21,14 @@
         return cached
     }
 
-    /** Returns when this entry last sent the part with [id], null if that is unknown. */
-    public fun usedAt(id: String): MonotonicTime? = parts[id]?.usedAt
-
     /** Adds the parts of [prompt] to the cache; evicts the least recently used parts above the capacity. */
-    public fun remember(prompt: List<PromptPart>, now: MonotonicTime) {
+    public fun remember(prompt: List<PromptPart>) {
         for (part in prompt) {
-            if (parts.put(part.id, HeldPart(part.tokens, now)) == null) tokens += part.tokens
+            if (parts.put(part.id, part.tokens) == null) tokens += part.tokens
         }
         val oldest = parts.entries.iterator()
         while (tokens > capacityTokens && oldest.hasNext()) {
-            tokens -= oldest.next().value.tokens
+            tokens -= oldest.next().value
             oldest.remove()
         }
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerCostEstimator.kt
@@ -19,54 +19,26 @@
     private val firstEvents = HashMap<ServiceName, FirstEventModel>()
     private val answers = HashMap<ServiceName, AnswerModel>()
 
-    /**
-     * Returns the prediction for [request] at the server of [load], with [prefillTokens] prompt tokens to process.
-     *
-     * At least [mustEndBefore] requests must end there before the request can begin.
-     */
-    fun predict(
-        load: ServerLoad,
-        request: ForwardRequest,
-        prefillTokens: Int,
-        now: MonotonicTime,
-        mustEndBefore: Double = 0.0,
-    ): LatencyPrediction {
+    /** Returns the prediction for [request] at the server of [load], with [prefillTokens] prompt tokens to process. */
+    fun predict(load: ServerLoad, request: ForwardRequest, prefillTokens: Int, now: MonotonicTime): LatencyPrediction {
         val openRequests = load.inFlight + load.otherEntriesRequests(now)
         if (!request.route.isStream) {
             val utilization = openRequests / load.server.slots.coerceAtLeast(1)
             val millis = answerModel(request).predictMillis(request.route.name, utilization)
             return LatencyPrediction.Answer(request.route.name, utilization, millis)
         }
-        if (load.isPaced) {
-            val state = EngineState(load.pendingPrefillTokens + prefillTokens, openRequests, load.waitingRequests(now))
-            val slotMillis = load.slotWait(now).millis
-            val millis = firstEventModel(request).predictMillis(state) + slotMillis
-            return LatencyPrediction.FirstEvent(state, millis, slotMillis)
-        }
         val beyondSlots = openRequests + 1.0 - load.server.slots.coerceAtLeast(1)
-        val waiting = maxOf(load.waitingRequests(now), beyondSlots, mustEndBefore)
+        val waiting = maxOf(load.waitingRequests(now), beyondSlots)
         val state = EngineState(load.pendingPrefillTokens + prefillTokens, openRequests, waiting)
         return LatencyPrediction.FirstEvent(state, firstEventModel(request).predictMillis(state))
     }
 
-    /** Returns the milliseconds in which an engine of usual speed processes one prompt token of [request]. */
-    fun millisPerToken(request: ForwardRequest): Double = firstEventModel(request).millisPerToken
-
     /** Returns the prediction for [request] at an idle server, with [prefillTokens] prompt tokens to process. */
     fun idleMillis(request: ForwardRequest, prefillTokens: Int): Double {
         if (!request.route.isStream) return answerModel(request).predictMillis(request.route.name, utilization = 0.0)
         return firstEventModel(request).predictMillis(EngineState(prefillTokens, running = 0.0, waiting = 0.0))
     }
 
-    /** Keeps the model of the service of [request], which is sent; an explained request must not set its prior. */
-    fun keepModel(request: ForwardRequest) {
-        if (request.route.isStream) {
-            firstEvents.putIfAbsent(request.service, firstEventModel(request))
-        } else {
-            answers.putIfAbsent(request.service, answerModel(request))
-        }
-    }
-
     /** Learns that what was predicted for a request of [service] took [measuredMillis]. */
     fun learn(service: ServiceName, prediction: LatencyPrediction, measuredMillis: Double) {
         when (prediction) {
@@ -111,10 +83,10 @@
         if (load.server.availabilityZone == availabilityZone) 0.0 else settings.otherZoneMillis
 
     private fun firstEventModel(request: ForwardRequest): FirstEventModel =
-        firstEvents[request.service] ?: FirstEventModel(targetMillis(request), request.promptTokens)
+        firstEvents.getOrPut(request.service) { FirstEventModel(targetMillis(request), request.promptTokens) }
 
     private fun answerModel(request: ForwardRequest): AnswerModel =
-        answers[request.service] ?: AnswerModel(targetMillis(request))
+        answers.getOrPut(request.service) { AnswerModel(targetMillis(request)) }
 
     private fun targetMillis(request: ForwardRequest): Double =
         request.route.latencyTarget.toDouble(DurationUnit.MILLISECONDS)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerList.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerList.kt
@@ -59,8 +59,7 @@
     /** Records that the registration of a server was removed. */
     public fun registrationRemoved(id: BackendServerId, now: MonotonicTime) {
         val server = listed[id] ?: return
-        val returnedAt = if (isStoreUnavailable) now else storeReturnedAt
-        val keepUntil = returnedAt?.plus(REREGISTRATION_TIME)
+        val keepUntil = storeReturnedAt?.plus(REREGISTRATION_TIME)
         if (!server.isDraining && keepUntil != null && now < keepUntil) {
             keptUntil[id] = keepUntil
         } else {
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerSelection.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerSelection.kt
@@ -5,10 +5,8 @@
  *
  * @property candidates all servers that were considered
  * @property chosen the one of [candidates] that gets the request, null if none can take it
- * @property isTooLate whether the request would be refused because it would be too late at [chosen]
  */
 public class ServerSelection internal constructor(
     public val candidates: List<ServerCandidate>,
     public val chosen: ServerCandidate?,
-    public val isTooLate: Boolean = false,
 )
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerSelector.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/ServerSelector.kt
@@ -28,7 +28,6 @@
             val terms = if (holdReasons[index] == null) terms(view, toleratedFraction, random) else null
             ServerCandidate(view.server, holdReasons[index], terms)
         }
-        if (views.any { it.contentionMillis > 0.0 }) return LoadSpreader.spread(candidates, views, random)
         val chosen = candidates.filter { it.terms != null }.minByOrNull { it.terms?.totalMillis ?: Double.MAX_VALUE }
         return ServerSelection(candidates, chosen)
     }
@@ -36,12 +35,12 @@
     private fun terms(view: CandidateView, toleratedFraction: Double, random: Random): CandidateTerms {
         val predicted = view.modelMillis * view.latencyRatio
         val failureFactor = 1.0 + FAILURE_WEIGHT * maxOf(0.0, view.failureFraction - toleratedFraction)
-        val jitter = if (view.contentionMillis > 0.0) 0.0 else random.nextDouble(JITTER_FRACTION)
+        val jitter = random.nextDouble(JITTER_FRACTION)
         return CandidateTerms(
             waitMillis = view.modelMillis - view.idleMillis,
             prefillMillis = view.idleMillis,
             paceMillis = predicted - view.modelMillis,
-            failureMillis = predicted * (failureFactor - 1.0) + view.rejectionMillis,
+            failureMillis = predicted * (failureFactor - 1.0),
             otherZoneMillis = view.otherZoneMillis,
             recomputedMillis = view.recomputedMillis,
             uncertaintyMillis = predicted * failureFactor * jitter,
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/VersionSplit.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/fleet/VersionSplit.kt
@@ -21,24 +21,16 @@
     /**
      * Returns the groups of [servers] at which to try the request, in order of preference.
      *
-     * A retry never goes to the version on trial while the old one has servers. Unless [isRecorded], nothing is drawn
-     * and kept for the requests that follow.
+     * A retry never goes to the version on trial while the old one has servers.
      */
     fun groups(
         trial: VersionTrial,
         servers: List<ServerLoad>,
         query: ServerQuery,
         now: MonotonicTime,
-        isRecorded: Boolean = true,
     ): List<List<ServerLoad>> {
         val (new, old) = servers.partition { it.server.version == trial.target }
-        val service = query.request.service
-        val counts = if (isRecorded) {
-            countsOf(trial, service)
-        } else {
-            knownCounts(trial, service)
-                ?: Counts(trial.move, HALF)
-        }
+        val counts = countsOf(trial, query.request.service)
         val isRetry = query.excluded.isNotEmpty()
         val isForNew = !isRetry && takesRequest(trial, counts, query, now)
         val isPermitted = isWithinLimit(trial, counts, now)
@@ -89,11 +81,11 @@
         durationsByRoute[route] = known + (millis - known) * SMOOTHING_FACTOR
     }
 
-    private fun countsOf(trial: VersionTrial, service: ServiceName): Counts =
-        knownCounts(trial, service) ?: Counts(trial.move, random.nextDouble()).also { counts[service] = it }
-
-    private fun knownCounts(trial: VersionTrial, service: ServiceName): Counts? =
-        counts[service]?.takeIf { it.move == trial.move }
+    private fun countsOf(trial: VersionTrial, service: ServiceName): Counts {
+        val known = counts[service]
+        if (known != null && known.move == trial.move) return known
+        return Counts(trial.move, random.nextDouble()).also { counts[service] = it }
+    }
 
     /**
      * Requests of one move at this entry.
@@ -119,9 +111,6 @@
         const val SMOOTHING_FACTOR = 0.1
         const val MAX_ROUTES = 512
 
-        /** Random part of a request where none has been drawn. */
-        const val HALF = 0.5
-
         /** Time before the completion within which all requests go to the new version. */
         val MIN_MOVING_TIME = 150.milliseconds
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/RefusalCause.kt
@@ -27,9 +27,6 @@
 
     /** Backend servers have ended under this request, or under others with a part of its prompt. */
     CRASHING_REQUEST(503, "crashing-request"),
-
-    /** Demand exceeds the capacity of the service, and more urgent requests or other workspaces come first. */
-    CAPACITY_SHORT(503, "capacity-short"),
     ;
 
     public companion object {
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/StreamProgress.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/StreamProgress.kt
@@ -7,8 +7,8 @@
 /**
  * The pace of the events of one stream, as far as one attempt has brought it.
  *
- * Distinguishes a slow stream, whose events have come in similar intervals before, from one that has stalled, though
- * its server still sends single bytes or answers other requests.
+ * Tells a slow stream, whose events have come in similar intervals before, from one that has stalled, though its server
+ * still sends single bytes or answers other requests.
  */
 public class StreamProgress {
     private var lastAt: MonotonicTime? = null
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/operator/OperatorPaths.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/operator/OperatorPaths.kt
@@ -25,7 +25,4 @@
 
     /** `POST` of an [ExplainMessage]: the routing decision for a request and the reasons. */
     public const val EXPLANATIONS: String = "/v1/explanations"
-
-    /** `GET` at the metrics address of a forwarding entry: how it would forward the request in the query. */
-    public const val FORWARD_EXPLANATIONS: String = "/v1/forward-explanations"
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ObjectStore.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ObjectStore.kt
@@ -20,13 +20,6 @@
     /** Lists every object whose key starts with [prefix]. */
     public suspend fun list(prefix: String): ObjectListing
 
-    /**
-     * Lists every object whose key starts with [prefix], as of a time that may be seconds ago, at a lower price.
-     *
-     * A [watch] from the returned version delivers the changes since. A store without such a call lists as [list] does.
-     */
-    public suspend fun listPossiblyOld(prefix: String): ObjectListing = list(prefix)
-
     /**
      * Waits for at most [atMost] until an object with [prefix] has a change after version [after].
      *
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/PeerUsageEstimate.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/PeerUsageEstimate.kt
@@ -11,7 +11,6 @@
     private var reportedAt: MonotonicTime,
 ) {
     private var ratePerSecond = 0.0
-    private var requestedTotal = 0.0
 
     /** Estimated usage between the last report and [extrapolatedUntil]. */
     private var extrapolated = 0.0
@@ -36,20 +35,6 @@
         return beyondEstimate
     }
 
-    /** Records that [amount] has been asked of the peer so far; returns what was asked since the last report. */
-    fun recordRequested(incarnation: Long, amount: Double, isFirst: Boolean): Double {
-        if (incarnation < this.incarnation) return 0.0
-        val asked = if (isFirst) {
-            0.0
-        } else if (amount < requestedTotal) {
-            amount
-        } else {
-            amount - requestedTotal
-        }
-        requestedTotal = amount
-        return asked
-    }
-
     /** Extrapolates the peer's rate until [now]; returns the usage that this adds. */
     fun extrapolate(now: MonotonicTime): Double {
         val until = minOf(now, reportedAt + EXTRAPOLATION_LIMIT)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/QuotaSharing.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/QuotaSharing.kt
@@ -7,14 +7,10 @@
  *
  * @property entries number of entries that share the quota, at least 1
  * @property isStarting whether this entry started too recently to have received the usage of all peers
- * @property isRelayed whether peers pass on the usage of other entries, so that it is known after about a second
  */
-internal class QuotaSharing(val entries: Int, val isStarting: Boolean, private val isRelayed: Boolean = false) {
+internal class QuotaSharing(val entries: Int, val isStarting: Boolean) {
     val isSmallFleet: Boolean get() = entries <= PeerTable.MAX_HEARTBEAT_TARGETS + 1
 
-    /** Whether the quota goes by the usage and demand of all entries, which each entry knows after about a second. */
-    val isFleetWide: Boolean get() = isRelayed && !isSmallFleet && !isStarting
-
     /** Mean time until a peer has received what this entry admits. */
     val reportDelaySeconds: Double
         get() = REPORT_SECONDS + ROUND_SECONDS * ((entries - 1.0) / PeerTable.MAX_HEARTBEAT_TARGETS)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/WorkspaceQuotas.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/quota/WorkspaceQuotas.kt
@@ -20,27 +20,17 @@
  *   peer started no earlier than this entry; of an older peer, only what the peer admits after its first report.
  * @property startedAt time of this entry's start, null if the entry is not starting
  * @property random source of the random decisions of an entry whose part is smaller than a request
- * @property onUrgentReport is called when the peers should get this entry's counts at once
  */
 public class WorkspaceQuotas(
     private val tolerance: QuotaTolerance = QuotaTolerance(),
     private val startedAtMillis: Long = 0,
     private val startedAt: MonotonicTime? = null,
     private val random: Random = Random.Default,
-    private val onUrgentReport: () -> Unit = {},
 ) {
     private val quotas = HashMap<WorkspaceId, WorkspaceQuota>()
-    private val relay = UsageRelay()
-    private var policies: Map<WorkspaceId, WorkspacePolicy> = emptyMap()
-    private var relayedAt: MonotonicTime? = null
     private var liveEntries = 1
     private var knownEntries = if (startedAt == null) 1 else UNKNOWN_ENTRIES
 
-    /** Replaces the quotas of all workspaces that have one by those of [policies]. */
-    public fun updatePolicies(policies: Collection<WorkspacePolicy>) {
-        this.policies = policies.filter { it.ratePerSecond > 0.0 }.associateBy { it.id }
-    }
-
     /** Takes [charge] out of the quota of [policy]; returns false if the quota is used up. */
     public fun tryConsume(policy: WorkspacePolicy, charge: Double, now: MonotonicTime): Boolean {
         if (policy.ratePerSecond <= 0.0) return true
@@ -71,45 +61,6 @@
         }
     }
 
-    /** Returns the charges that were asked of this entry so far, admitted or not, by workspace. */
-    public fun requestedByWorkspace(): Map<String, Double> =
-        quotas.entries.associate { it.key.value to it.value.requested }
-
-    /** Returns what this entry reports in its next heartbeat beside what it has admitted; others' if [passesOn]. */
-    public fun nextUsageReport(passesOn: Boolean): UsageReport =
-        UsageReport(requestedByWorkspace(), if (passesOn) relay.nextReports() else emptyList())
-
-    /**
-     * Records a [report] of a peer about itself and the counts that it passed on from other entries.
-     *
-     * @param ownName name of this entry, whose own counts peers pass on to it
-     */
-    public fun recordPeerReport(
-        ownName: String,
-        report: RelayedUsage,
-        passedOn: List<RelayedUsage>,
-        now: MonotonicTime,
-    ) {
-        relayedAt = now
-        val sharing = sharing(now)
-        recordCounts(report, sharing, now)
-        passedOn.filter { it.name != ownName }.forEach { recordCounts(it, sharing, now) }
-    }
-
-    private fun recordCounts(report: RelayedUsage, sharing: QuotaSharing, now: MonotonicTime) {
-        val startedNoEarlier = report.incarnation >= startedAtMillis - CLOCK_TOLERANCE_MILLIS
-        for ((name, amount) in report.admitted) {
-            val workspace = WorkspaceId(name)
-            if (!relay.accept(report.name, workspace, report)) continue
-            val quota = quota(workspace, now)
-            policies[workspace]?.let { quota.refillBeforeReports(it, sharing, now) }
-            val isNew = !quota.isKnown(report.name) && !startedNoEarlier
-            quota.recordPeerUsage(report.name, report.incarnation, amount, now, startedNoEarlier)
-            val requested = report.requested[name] ?: amount
-            quota.recordPeerRequests(report.name, report.incarnation, requested, now, isNew)
-        }
-    }
-
     /**
      * Sets the names of the entries that are alive to [live], this entry included.
      *
@@ -120,16 +71,14 @@
         liveEntries = maxOf(1, live.size)
         knownEntries = maxOf(known, liveEntries)
         quotas.values.forEach { it.removeExpiredPeers(live, now) }
-        relay.retainPeers { peer -> peer in live || quotas.values.any { it.isKnown(peer) } }
     }
 
     private fun quota(workspace: WorkspaceId, now: MonotonicTime): WorkspaceQuota =
-        quotas.getOrPut(workspace) { WorkspaceQuota(now, tolerance, isStarting(now), random, onUrgentReport) }
+        quotas.getOrPut(workspace) { WorkspaceQuota(now, tolerance, isStarting(now), random) }
 
     private fun sharing(now: MonotonicTime): QuotaSharing {
         val isStarting = isStarting(now)
-        val isRelayed = relayedAt?.let { now - it < RELAY_VALIDITY } ?: false
-        return QuotaSharing(if (isStarting) knownEntries else liveEntries, isStarting, isRelayed)
+        return QuotaSharing(if (isStarting) knownEntries else liveEntries, isStarting)
     }
 
     private fun isStarting(now: MonotonicTime): Boolean {
@@ -145,9 +94,6 @@
         /** Time from a start until an entry has received the usage of all peers, where all exchange heartbeats. */
         val SMALL_FLEET_STARTUP_TIME = 1.seconds
 
-        /** Time without reports that pass on usage after which an entry goes by what it receives directly. */
-        val RELAY_VALIDITY = 2.seconds
-
         /** Number of entries that an entry assumes before it has read the registrations of its peers. */
         const val UNKNOWN_ENTRIES = 64
     }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/CapacityOrderPlannerTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/CapacityOrderPlannerTest.kt
@@ -9,7 +9,6 @@
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
-import org.yuccajunction.port.DutyOutcome
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
@@ -39,12 +38,9 @@
             "${it.zone} ${it.desired} ${it.isReclaimable}"
         }
 
-    private fun outcome(isAccepted: Boolean): DutyOutcome =
-        if (isAccepted) DutyOutcome.Accepted else DutyOutcome.Refused("no capacity")
-
     private fun answer(servers: List<BackendServer>, isAccepted: (CapacityOrder) -> Boolean) {
         planner.dueOrders(service, servers, baseline, ServiceDemand(0.0, null), now).forEach {
-            planner.recordAnswer(it, outcome(isAccepted(it)), now)
+            planner.recordAnswer(it, isAccepted(it), now)
         }
     }
 
@@ -178,10 +174,10 @@
             planner.dueOrders(threeZones, servers, baseline, ServiceDemand(0.0, 2.2), now)
         repeat(60) {
             now += 1.seconds
-            orders(all).forEach { planner.recordAnswer(it, outcome(true), now) }
+            orders(all).forEach { planner.recordAnswer(it, true, now) }
         }
         val left = servers(east, 2, true) + servers(north, 1, true)
-        orders(left).filter { it.isReclaimable }.forEach { planner.recordAnswer(it, outcome(false), now) }
+        orders(left).filter { it.isReclaimable }.forEach { planner.recordAnswer(it, false, now) }
         now += 1.seconds
         val onDemand = orders(left).filterNot { it.isReclaimable }
         assertEquals(listOf("west 2", "north 1"), onDemand.map { "${it.zone} ${it.desired}" })
@@ -210,17 +206,4 @@
         now += 2.seconds
         assertEquals(listOf("west 4 true", "east 4 true"), due(all, busyServers = 3.0).take(2))
     }
-
-    /** Guards against servers that are ordered twice, in place of those whose order took effect without an answer. */
-    @Test
-    fun `an order whose answer was lost is repeated as it was, and nothing is ordered in its place`() {
-        planner.dueOrders(service, emptyList(), baseline, ServiceDemand(0.0, null), now).forEach {
-            val isLost = it.zone == west && it.isReclaimable
-            planner.recordAnswer(it, if (isLost) DutyOutcome.Unknown("lost") else DutyOutcome.Accepted, now)
-        }
-        now += 1.seconds
-        assertEquals(emptyList(), due(emptyList()))
-        now += 3.seconds
-        assertEquals(listOf("west 2 true"), due(emptyList()))
-    }
 }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/MemoryStore.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/duty/MemoryStore.kt
@@ -12,19 +12,9 @@
 /** A store of one object in memory, which can be unavailable and can lose the answers of writes. */
 class MemoryStore : ObjectStore {
     private var stored: StoredObject? = null
-    private var copy: StoredObject? = null
     var losesAnswers = false
     var isUnavailable = false
 
-    /** Takes a copy, to which [restore] goes back. */
-    fun takeCopy() {
-        copy = stored
-    }
-
-    fun restore() {
-        stored = copy
-    }
-
     override suspend fun read(key: String): ObjectReading =
         if (isUnavailable) {
             ObjectReading.Unavailable("away")
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/entries/ConfirmationSourceSelectorTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/entries/ConfirmationSourceSelectorTest.kt
@@ -17,17 +17,6 @@
         assertNull(ConfirmationSourceSelector("entry-1").nextPeer(few))
     }
 
-    @Test
-    fun `of seventeen entries four ask the store, and each entry asks those of them that it is not`() {
-        val entries = many.take(17)
-        val askers = entries.filter { ConfirmationSourceSelector(it).asksStore(entries) }
-        assertEquals(4, askers.size)
-        val other = ConfirmationSourceSelector(entries.first { it !in askers })
-        assertEquals(askers.toSet(), List(4) { other.nextPeer(entries) }.toSet())
-        val asker = ConfirmationSourceSelector(askers.first())
-        assertEquals(askers.toSet() - askers.first(), List(3) { asker.nextPeer(entries) }.toSet())
-    }
-
     @Test
     fun `of 300 entries one in forty asks the store, and the others ask each of those in rotation`() {
         val askers = many.filter { ConfirmationSourceSelector(it).asksStore(many) }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/FleetSimulation.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/FleetSimulation.kt
@@ -18,7 +18,6 @@
 import org.yuccajunction.model.Revision
 import org.yuccajunction.model.ServiceName
 import kotlin.random.Random
-import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -26,9 +25,6 @@
  * Simulates many entries, each with a [LoadBalancer], that send requests to simulated engines under a manual clock.
  *
  * @property policy chooses the engine instead of the load balancers; null to use the load balancers
- * @property placement the same with knowledge of the request
- * @property seen what the load balancers see of a request
- * @property sendsAll whether the load balancers refuse no request because of its wait
  * @param onPrediction gets the predicted and the measured milliseconds of each answer
  */
 class FleetSimulation(
@@ -36,9 +32,6 @@
     entries: Int = 8,
     servers: Int = 8,
     private val policy: ((List<SimulatedEngine>, Random) -> SimulatedEngine)? = null,
-    private val placement: ((List<SimulatedEngine>, ForwardRequest) -> SimulatedEngine)? = null,
-    private val seen: (ForwardRequest) -> ForwardRequest = { it },
-    private val sendsAll: Boolean = false,
     speed: SimulatedEngine.EngineSpeed = SimulatedEngine.EngineSpeed(),
     onPrediction: (ServiceName, Double, Double) -> Unit = { _, _, _ -> },
 ) {
@@ -61,8 +54,7 @@
     )
 
     private val random = Random(seed)
-    private val service =
-        ForwardService(ServiceName("service"), 400, engine = EngineCapacity(speed.slots, speed.memoryTokens.toLong()))
+    private val service = ForwardService(ServiceName("service"), 400, engine = EngineCapacity(64, 444_000))
     private val engines = (1..servers).map {
         SimulatedEngine(ForwardFixture.server("server-$it").copy(slots = speed.slots), speed)
     }
@@ -74,11 +66,6 @@
     private var requests = 0
     private var time = 0.0
     private var removed = emptySet<SimulatedEngine>()
-    private var restarted = emptySet<SimulatedEngine>()
-    private val anotherServer = setOf(ForwardFixture.server("another-server").id)
-
-    /** Milliseconds from the arrival of each request to its first event, in the order of the first events. */
-    val firstEventMillis = ArrayList<Double>()
 
     var requested = 0
         private set
@@ -98,10 +85,7 @@
     private fun publishSnapshot() {
         val configuration =
             ForwardConfiguration(Revision(1), persistentListOf(), persistentMapOf(service.name to service))
-        val listed = (engines - removed)
-            .map { if (it in restarted) it.server.copy(startedAtMillis = 1) else it.server }
-            .associateBy { it.id }
-            .toPersistentMap()
+        val listed = (engines - removed).map { it.server }.associateBy { it.id }.toPersistentMap()
         val snapshot = FleetSnapshot(configuration, listed, entries = names.toPersistentList())
         balancers.forEach { it.update(snapshot, now()) }
     }
@@ -112,12 +96,6 @@
         publishSnapshot()
     }
 
-    /** Lets the first [count] engines start anew under their identities, with empty caches. */
-    fun restartServers(count: Int) {
-        restarted = engines.take(count).onEach { it.forgetPrompts() }.toSet()
-        publishSnapshot()
-    }
-
     /**
      * Lets requests of [kinds] arrive for [millis] milliseconds.
      *
@@ -142,7 +120,7 @@
             refused += 1
             return
         }
-        val ticket = entry.beginAttempt(chosen.server, seen(request), now())
+        val ticket = entry.beginAttempt(chosen.server, request, now())
         val arrivedAt = time
         val execution =
             SimulatedEngine.Execution(
@@ -150,7 +128,6 @@
                 answered = { at ->
                     entry.recordFirstAnswer(ticket, MonotonicTime.ZERO + at.milliseconds)
                     entry.recordLoadReport(chosen.server.id, chosen.load, MonotonicTime.ZERO + at.milliseconds)
-                    firstEventMillis += at - arrivedAt
                     if (at - arrivedAt <= kind.targetMillis) inTime += 1
                 },
                 ended = { at -> entry.endAttempt(ticket, null as AttemptEnd?, MonotonicTime.ZERO + at.milliseconds) },
@@ -160,9 +137,7 @@
 
     private fun choose(entry: LoadBalancer, request: ForwardRequest): SimulatedEngine? {
         policy?.let { return it(engines - removed, random) }
-        placement?.let { return it(engines - removed, request) }
-        val query = ServerQuery(seen(request), if (sendsAll) anotherServer else emptySet())
-        val choice = entry.choose(query, now()) as? ServerChoice.Use ?: return null
+        val choice = entry.choose(ServerQuery(request), now()) as? ServerChoice.Use ?: return null
         return engines.first { it.server.id == choice.server.id }
     }
 
@@ -171,7 +146,7 @@
         val prompt = if (random.nextDouble() < hotShare) 0 else random.nextInt(kind.prompts)
         val route =
             ForwardRoute(
-                name = "route-${kind.sharedTokens}",
+                name = "route",
                 host = "host",
                 pathPrefix = "/",
                 destinations = persistentListOf(Destination(service.name)),
@@ -187,7 +162,7 @@
             workspace = null,
             rank = 0,
             receivedAt = now(),
-            deadline = now() + if (sendsAll) 1.hours else 8.seconds,
+            deadline = now() + 8.seconds,
             promptTokens = kind.sharedTokens + kind.ownTokens,
             answerTokens = kind.answerTokens,
             promptParts =
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/LoadBalancerTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/LoadBalancerTest.kt
@@ -160,38 +160,4 @@
         balancer.endAttempt(ticket, null, now)
         assertEquals(first.id, chosen(balancer, request).id)
     }
-
-    private fun prefillMillis(balancer: LoadBalancer, server: BackendServer): Double {
-        val compared = balancer.compare(ServerQuery(request()), now, Random(1))
-        return compared.candidates.first { it.server.id == server.id }.terms?.prefillMillis ?: error("held")
-    }
-
-    @Test
-    fun `a server that restarts under its name is not taken for one that holds the popular prompts`() {
-        val balancer = balancer(servers)
-        val server = chosen(balancer, request())
-        balancer.recordLoadReport(server.id, LoadReport(0, 0, 64, pacePercent = 100), now)
-        repeat(20) {
-            now += 100.milliseconds
-            balancer.endAttempt(balancer.beginAttempt(server, request(), now), null, now)
-        }
-        val held = prefillMillis(balancer, server)
-        val restarted = server.copy(startedAtMillis = 2)
-        balancer.update(snapshot(servers.map { if (it.id == server.id) restarted else it }), now)
-        assertTrue(prefillMillis(balancer, server) > held * 1.2, "held $held ms")
-    }
-
-    @Test
-    fun `an explanation changes no choice that follows`() {
-        val choices = listOf(false, true).map { isExplained ->
-            own = 0
-            val balancer = balancer(servers)
-            (1..30).map {
-                if (isExplained) balancer.compare(ServerQuery(request("x")), now, Random(7)).also { own -= 1 }
-                val request = request("part-${it % 5}")
-                chosen(balancer, request).also { server -> balancer.beginAttempt(server, request, now) }.id
-            }
-        }
-        assertEquals(choices[0], choices[1])
-    }
 }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/ServerListTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/fleet/ServerListTest.kt
@@ -37,17 +37,6 @@
         assertEquals(listOf("b"), ids())
     }
 
-    /** Guards against peers that tell of expired registrations before this entry knows that the store has returned. */
-    @Test
-    fun `a server whose expired registration is told while the store is away stays listed until it could register`() {
-        list.replace(listOf(server("a")), now)
-        list.storeLost()
-        list.registrationRemoved(BackendServerId("a"), now)
-        assertEquals(listOf("a"), ids())
-        now += 3.seconds
-        assertTrue(list.removeExpired(now))
-    }
-
     @Test
     fun `a server that registers again after the return of the store stays listed`() {
         list.replace(listOf(server("a")), now)
--- a/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/CommandLine.kt
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/CommandLine.kt
@@ -40,7 +40,7 @@
             } else {
                 val settings = CtlSettings(environment)
                 val urls = settings.entries(entries, plainText).bind()
-                val token = if (command.needsToken) settings.token(tokenFile).bind() else ""
+                val token = settings.token(tokenFile).bind()
                 val trust = trustFile?.let { PemTrust.read(it).mapLeft(Finding::toString).bind() }
                 OperatorClient(urls, token, trust)
             }
--- a/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/CtlCommand.kt
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/CtlCommand.kt
@@ -22,9 +22,6 @@
         isChosen = true
     }
 
-    /** Whether the command needs the operator's token. */
-    open val needsToken: Boolean get() = true
-
     /** Executes the command. */
     abstract suspend fun run(session: CtlSession): ExitCode
 
--- a/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/CtlCommands.kt
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/CtlCommands.kt
@@ -1,7 +1,13 @@
 package org.yuccajunction.ctl
 
 import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.default
+import kotlinx.cli.required
+import org.yuccajunction.model.RequestClass
+import org.yuccajunction.model.ServiceName
+import org.yuccajunction.model.WorkspaceId
+import org.yuccajunction.operator.ExplainMessage
 import org.yuccajunction.operator.SwitchTarget
 
 /** The commands of the command line. */
@@ -107,5 +113,20 @@
     override suspend fun run(session: CtlSession) = StatusCommands(session).instances()
 }
 
+@OptIn(ExperimentalCli::class)
+private class ExplainCommand : CtlCommand("explain", "Write where a request would go, and why") {
+    private val service by option(ArgType.String, "service", null, "Name of the service").required()
+    private val workspace by option(ArgType.String, "workspace", null, "Name of the workspace").required()
+    private val requestClass by option(ArgType.Choice<RequestClass>(), "class", null, "Class of the request")
+        .default(RequestClass.ORDER)
+    private val route by option(ArgType.String, "route", null, "Route of the request").default("/")
+    private val tokens by option(ArgType.Int, "prompt-tokens", null, "Length of the prompt, in tokens").default(0)
+
+    override suspend fun run(session: CtlSession) =
+        StatusCommands(session).explain(
+            ExplainMessage(ServiceName(service), WorkspaceId(workspace), requestClass, route, tokens),
+        )
+}
+
 private const val TAKE_OUT = "take-out"
 private const val RETURN = "return"
--- a/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/OperatorClient.kt
+++ b/yuccajunction-ctl/src/main/kotlin/org/yuccajunction/ctl/OperatorClient.kt
@@ -28,7 +28,7 @@
  * a write id.
  *
  * @param entries base URLs of the operator ports
- * @param token bearer token of the operator, empty for calls that need none
+ * @param token bearer token of the operator
  * @param trust checks the certificates of entries; null for the trusted certificates of the JVM
  */
 public class OperatorClient(
@@ -91,7 +91,7 @@
         try {
             val response = client.request(entry + path) {
                 this.method = method
-                if (token.isNotEmpty()) bearerAuth(token)
+                bearerAuth(token)
                 if (body != null) {
                     contentType(ContentType.Application.Json)
                     setBody(body)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ControlPlane.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.MutableStateFlow
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.fleet.ServerList
@@ -29,16 +28,14 @@
 internal class ControlPlane(
     private val dataPlane: DataPlane,
     private val store: ObjectStore,
-    private val era: StoreEra,
     private val source: FleetSource,
     private val log: DecisionLog,
 ) {
     /** Carries out orders to move services to other versions; set before [start]. */
     lateinit var rollouts: Rollouts
-    private val health = StoreHealth(log, era)
+    private val health = StoreHealth(log)
     private val servers = ServerList()
     private val drainedAvailabilityZones = HashSet<AvailabilityZone>()
-    private val peersRelayChanges = MutableStateFlow(false)
 
     var fleet = FleetSnapshot()
         private set
@@ -48,7 +45,6 @@
             source.configurationKind,
             watchTimeout = ::configurationWatchTimeout,
             isHealthProbe = true,
-            mayStartOld = false,
         ) { _, objects -> acceptConfigurations(objects) }
     private val serverFollower =
         follower(
@@ -74,12 +70,6 @@
             field = value
         }
 
-    /** Whether peers that watch the store relay changes to this entry, so that it need not watch the store itself. */
-    var learnsFromPeers by peersRelayChanges::value
-
-    /** Era of the store in which the versions of this entry are valid. */
-    val storeEra: Long get() = era.current.value
-
     /** Whether the store has answered the newest call for the configuration. */
     val isStoreAvailable: Boolean get() = health.isAvailable.value
 
@@ -88,7 +78,6 @@
             scope.launchRestarting(log, "follower of ${follower.kind}") { follower.follow() }
         }
         scope.launchRestarting(log, "health") { watchHealth() }
-        scope.launchRestarting(log, "era of the store") { watchEra() }
         scope.launchRestarting(log, "housekeeping") { runHousekeeping() }
     }
 
@@ -103,7 +92,6 @@
         kind: String,
         watchTimeout: () -> Duration = { WATCH_TIMEOUT },
         isHealthProbe: Boolean = false,
-        mayStartOld: Boolean = true,
         gatheringTime: Duration = Duration.ZERO,
         accept: (isFullList: Boolean, objects: List<StoredObject>) -> Unit,
     ) = StoreFollower(
@@ -113,9 +101,7 @@
         clock = dataPlane.clock,
         kind = kind,
         watchTimeout = watchTimeout,
-        learnsFromPeers = peersRelayChanges,
         isHealthProbe = isHealthProbe,
-        mayStartOld = mayStartOld,
         gatheringTime = gatheringTime,
         onListed = { accept(true, it) },
         onChanged = { accept(false, it) },
@@ -125,12 +111,26 @@
     private fun configurationWatchTimeout(): Duration =
         if (confirmsWithStore) CONFIRMING_WATCH_TIMEOUT else WATCH_TIMEOUT
 
-    /** What this entry knows of the objects in the store, in comparison with its peers. */
-    val knowledge: StoreKnowledge by lazy { StoreKnowledge(followers(), relayed = serverFollower, era) }
+    /** Returns the store version of the last change that this entry received, by kind of object. */
+    fun newestChanges(): Map<String, Long> = followers().associate { it.kind to it.newestChange.value }
 
-    /** Records that the store answers a peer, so that this entry may receive changes again. */
-    fun storeSeenByPeer() {
-        if (learnsFromPeers) health.storeAnswered()
+    /**
+     * Returns the kinds of object of which a peer knows changes that this entry does not know.
+     *
+     * [knownElsewhere] holds the versions of the newest changes that the peer knows, by kind. They are compared with
+     * the store version up to which this entry knows all changes. Each returned kind is mapped to the delay after which
+     * this entry watches for further changes of that kind, so that one watch returns several.
+     */
+    fun kindsBehind(knownElsewhere: Map<String, Long>): Map<String, Duration> =
+        followers()
+            .filter { (knownElsewhere[it.kind] ?: 0) > (it.version?.value ?: 0) }
+            .associate { it.kind to it.gatheringTime }
+
+    /** Returns whether this entry knows the configuration that a peer knows, by the versions in [knownElsewhere]. */
+    fun isConfigurationKnown(knownElsewhere: Map<String, Long>): Boolean {
+        val known = configurationFollower.version ?: return false
+        val newest = knownElsewhere[configurationFollower.kind] ?: return false
+        return newest <= known.value
     }
 
     /** Asks the store at once for changes of the objects of [kind]. */
@@ -249,19 +249,6 @@
         }
     }
 
-    /** Bears with registrations that the older copy, from which the store came back, does not hold yet. */
-    private suspend fun watchEra() {
-        var known = storeEra
-        era.current.collect { newest ->
-            if (known != StoreEra.UNKNOWN && newest > known) {
-                log.write(LogEvent.STORE_ERA_RISEN) { field("era", newest) }
-                servers.storeLost()
-                servers.storeReturned(dataPlane.now())
-            }
-            known = newest
-        }
-    }
-
     private suspend fun runHousekeeping() {
         while (true) {
             delay(HOUSEKEEPING_INTERVAL)
@@ -283,9 +270,7 @@
     private companion object {
         /** Timeout of a configuration watch whose answer also confirms that the configuration is current. */
         val CONFIRMING_WATCH_TIMEOUT: Duration = 800.milliseconds
-
-        /** The longest wait that the store grants is 30 s; shorter than that by the longest travel. */
-        val WATCH_TIMEOUT: Duration = 29.seconds
+        val WATCH_TIMEOUT: Duration = 20.seconds
 
         /** Delay from a change of backend servers to the next watch, as a fraction of [GatewayBounds.drainDelay]. */
         const val GATHERING_FRACTION = 0.28
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -6,7 +6,6 @@
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.fleet.LoadBalancer
 import org.yuccajunction.fleet.ServerChoice
-import org.yuccajunction.fleet.ServerObservation
 import org.yuccajunction.fleet.ServerQuery
 import org.yuccajunction.forward.ForwardEnvironment
 import org.yuccajunction.forward.RefusalCause
@@ -18,7 +17,6 @@
 import org.yuccajunction.quarantine.CrashQuarantine
 import org.yuccajunction.quarantine.QuarantineChange
 import org.yuccajunction.quarantine.QuarantineDecision
-import org.yuccajunction.quota.RelayedUsage
 import org.yuccajunction.quota.ServiceRetryBudget
 import org.yuccajunction.quota.UsageWindows
 import org.yuccajunction.quota.WorkspaceQuotas
@@ -53,13 +51,7 @@
             onPrediction = predictions::record,
             onUrgentReport = ::reportUrgently,
         )
-    val quotas =
-        WorkspaceQuotas(
-            settings.bounds.quotaTolerance,
-            System.currentTimeMillis(),
-            startedAt = now(),
-            onUrgentReport = ::reportUrgently,
-        )
+    val quotas = WorkspaceQuotas(settings.bounds.quotaTolerance, System.currentTimeMillis(), startedAt = now())
     val retryBudget =
         with(settings.bounds) { ServiceRetryBudget(retryBudgetRatio, retryBudgetBase, retryBudgetWindow) }
     val usageWindows = UsageWindows(settings.bounds.usageWindow)
@@ -74,10 +66,6 @@
 
     /** Earliest arrival of the connection that is being accepted, null where it is not known. */
     var acceptedSince: MonotonicTime? = null
-    val shortage = ShortageControl(this)
-
-    /** Takes in what peers report. */
-    val peerReports = PeerReports(this)
     val environment =
         ForwardEnvironment(
             chooseServer = ::chooseServer,
@@ -156,11 +144,9 @@
         loopDelay.awoke(now())
         this.fleet = fleet
         loadBalancer.update(fleet, now())
-        quotas.updatePolicies(fleet.configuration?.workspaces.orEmpty())
         serverConnections.closeUnlisted(fleet)
         serverEndDetector.fleetChanged()
         relays.retainServices()
-        shortage.update(fleet)
     }
 
     /** Records that a call that began at [at] or later, by [clock], confirmed the configuration as current. */
@@ -190,7 +176,6 @@
     private fun tick() {
         val now = now()
         loopDelay.awoke(now)
-        shortage.admission.tick(now)
         for (exchange in exchanges.toList()) {
             val isDone = log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "tick") { exchange.tick(now) }
             if (!isDone) log.runGuarded(LogEvent.REQUEST_HANDLING_FAILED, "end") { exchange.stop() }
@@ -203,7 +188,6 @@
     fun closeIdleConnections() {
         val now = now()
         admissions.report()
-        shortage.admission.tick(now)
         storeQuarantineChanges()
         serverConnections.closeIdle(now)
         callerConnections.toList().forEach { connection ->
@@ -239,11 +223,10 @@
     /** Returns the samples that were kept since the last call. */
     fun takeTrialSamples(): List<TrialSample> = trialSamples.also { trialSamples = ArrayList() }
 
-    /** Returns this entry's counts for the next heartbeat, and those of peers if it [passesOnUsage]. */
-    fun report(passesOnUsage: Boolean = false): TrafficReport =
+    /** Returns this entry's counts for the next heartbeat. */
+    fun report(): TrafficReport =
         TrafficReport(
             admitted = quotas.admittedByWorkspace().mapKeys { it.key.value },
-            usageReport = quotas.nextUsageReport(passesOnUsage),
             usage = usageWindows.counts(),
             openRequests = loadBalancer.openRequests().mapKeys { it.key.value },
             busyServers = loadBalancer.busyServers(now()).mapKeys { it.key.value },
@@ -257,10 +240,51 @@
             loadBalancer.brittleServers.rejectionAges(now()).entries.associate {
                 it.key.value to it.value.inWholeMilliseconds
             },
-            pacedServices =
-            PacedServiceReport(loadBalancer.observations.newest(now()), shortage.admission.report(now())),
         )
 
+    /**
+     * Records what peers admitted and which limits servers named to them, by their [heartbeats].
+     *
+     * [live] names all live entries and [known] counts those that may be alive, this one included.
+     */
+    fun acceptHeartbeats(heartbeats: List<EntryHeartbeat>, live: Set<String>, known: Int) {
+        val now = now()
+        quotas.updateLiveEntries(live, known, now)
+        loadBalancer.requestLimits.retainPeers(live)
+        loadBalancer.brittleServers.retainPeers(live)
+        relays.acceptHeartbeats(heartbeats, live)
+        for (heartbeat in heartbeats) {
+            log.runGuarded(LogEvent.CONTROL_TASK_FAILED, "heartbeat of ${heartbeat.name}") { accept(heartbeat, now) }
+        }
+    }
+
+    private fun accept(heartbeat: EntryHeartbeat, now: MonotonicTime) {
+        loadBalancer.notices.recordLeavingIncarnations(heartbeat.leavingServers)
+        heartbeat.quarantine.ends.forEach {
+            loadBalancer.notices.recordEnded(it.incarnation, now - it.ageMillis.milliseconds)
+            serverEndDetector.peerReportedEnd(it.incarnation)
+        }
+        quarantine.recordPeer(heartbeat.quarantine, now)
+        loadBalancer.brittleServers.recordPeer(
+            heartbeat.name,
+            heartbeat.brittleServices.mapKeys { ServiceName(it.key) },
+        )
+        heartbeat.rejectionAgesMillis.forEach { (service, age) ->
+            loadBalancer.brittleServers.recordRejection(ServiceName(service), now - age.milliseconds)
+        }
+        loadBalancer.requestLimits.recordPeer(
+            heartbeat.name,
+            heartbeat.requestLimits.mapKeys { BackendServerId(it.key) },
+            heartbeat.liftedLimits.mapTo(HashSet()) { BackendServerId(it) },
+        )
+        quotas.recordPeerUsage(
+            heartbeat.name,
+            heartbeat.incarnation,
+            heartbeat.admitted.mapKeys { WorkspaceId(it.key) },
+            now,
+        )
+    }
+
     private companion object {
         const val TICK_INTERVAL_MILLIS = 40L
         const val URGENT_REPORT_DELAY_MILLIS = 20L
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -28,7 +28,6 @@
     private val controlPlane: ControlPlane,
     private val peers: PeerGossip,
     private val lease: DutyLease,
-    private val era: StoreEra,
     private val calls: DutyCalls,
     private val windows: UsageWindows,
     private val entryName: String,
@@ -38,7 +37,6 @@
     private val reportedWindows = HashSet<Long>()
     private var leaseUnheldSince: MonotonicTime? = null
     private var heldFencingNumber: Long? = null
-    private var leaseEra = StoreEra.UNKNOWN
     private val startedAtMillis = System.currentTimeMillis()
 
     fun start(scope: CoroutineScope) {
@@ -51,10 +49,7 @@
     }
 
     private suspend fun performDuties() {
-        if (era.hasRisenSince(leaseEra)) reclaimLease()
-        leaseEra = era.current.value
         val highestPeerNumber = peers.table.livePeers(controlPlane.now()).map { it.dutyFencingNumber }.maxOrNull() ?: 0
-        lease.recordFencingNumber(highestPeerNumber)
         if (highestPeerNumber > (lease.fencingNumber ?: 0)) {
             lease.clearCache()
             leaseUnheldSince = null
@@ -68,18 +63,6 @@
         if (lease.renewalAge.let { it == null || it >= LONGEST_RENEWAL_INTERVAL }) lease.renew()
     }
 
-    /**
-     * Takes the lease again after the store was restored from an older copy, if this entry held it before.
-     *
-     * The former holder knows the totals that it has reported, which the copy may lack.
-     */
-    private suspend fun reclaimLease() {
-        val wasHolder = lease.isPresumedHolder
-        lease.storeRestored()
-        leaseUnheldSince = null
-        if (wasHolder) lease.takeOver()
-    }
-
     /**
      * Takes the lease over if no entry has held it for [TAKEOVER_AFTER].
      *
@@ -164,7 +147,7 @@
     private suspend fun placeOrder(grant: DutyGrant, order: CapacityOrder, demand: ServiceDemand) {
         if (!grant.isValid(leaseNow())) return
         val outcome = calls.order(grant.fencingNumber, order)
-        orderPlanner.recordAnswer(order, outcome, controlPlane.now())
+        orderPlanner.recordAnswer(order, outcome is DutyOutcome.Accepted, controlPlane.now())
         log.write(LogEvent.CAPACITY_ANSWERED) {
             field("order", order)
             field("openRequests", demand.openRequests)
@@ -191,7 +174,7 @@
         val DUTY_INTERVAL = 500.milliseconds
         val TAKEOVER_AFTER = 2.seconds
 
-        /** Time without a renewal after which the holder renews, to notice early that it does not reach the store. */
+        /** Time without a renewal after which the holder renews, so that it notices early that it has lost the store. */
         val LONGEST_RENEWAL_INTERVAL = 2.seconds
         const val USAGE_SETTLING_MILLIS = 1_800L
         const val REMEMBERED_WINDOWS = 6
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -64,7 +64,7 @@
 
     fun stop() = machine.stop()
 
-    /** Ends the exchange if its caller has disconnected or its deadline has passed; returns whether it continues. */
+    /** Ends the exchange if its caller has disconnected or its deadline has passed; returns whether it goes on. */
     fun isStillWanted(): Boolean {
         if (!caller.isConnected) callerLeft() else machine.tick(dataPlane.now(), isWaitingForCaller = true)
         return !machine.isEnded
@@ -110,7 +110,6 @@
         }
         if (status < MIN_SERVER_ERROR_STATUS) dataPlane.quarantine.recordAnswer(request, now)
         attempt.trial.answered(attempt, isFailure = status >= MIN_SERVER_ERROR_STATUS, now)
-        dataPlane.shortage.answered(attempt, now)
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, now)
         dataPlane.loadBalancer.endAttempt(
             attempt.ticket,
@@ -157,7 +156,6 @@
         if (!attempt.markOver()) return
         val now = dataPlane.now()
         attempt.trial.answered(attempt, isFailure = false, now)
-        dataPlane.shortage.answered(attempt, now)
         if (!attempt.server.isPeerEntry) dataPlane.quarantine.recordAnswer(request, now)
         dataPlane.loadBalancer.recordFirstAnswer(attempt.ticket, now)
         dataPlane.loadBalancer.endAttempt(attempt.ticket, null, now)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ForwardAdmission.kt
@@ -12,7 +12,6 @@
 import org.yuccajunction.forward.ForwardRoute
 import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.forward.WorkspacePolicy
-import org.yuccajunction.shortage.AdmissionDecision
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -40,8 +39,6 @@
                 caller.writeRejection(rejection.cause.status, rejection.cause.code, rejection.retryAfter)
             is Rejection.QuotaUsedUp ->
                 caller.writeRejection(rejection.cause.status, rejection.cause.code, rejection.retryAfter)
-            is Rejection.CapacityShort ->
-                caller.writeRejection(rejection.cause.status, rejection.cause.code, rejection.decision.retryAfter)
             is Rejection.Permanent ->
                 if (isOfPeer) {
                     caller.writeRejection(RefusalCause.NO_CONFIGURATION.status, rejection.code, retryAfter())
@@ -64,13 +61,6 @@
                 field("charge", rejection.charge)
                 field("remaining", dataPlane.quotas.remaining(rejection.policy.id))
             }
-            if (rejection is Rejection.CapacityShort) {
-                field("service", rejection.request.service)
-                field("workspace", rejection.request.workspace)
-                field("rank", rejection.request.rank)
-                field("admittedFraction", rejection.decision.terms.admittedFraction)
-                field("retryAfterMillis", rejection.decision.retryAfter.inWholeMilliseconds)
-            }
         }
     }
 
@@ -81,36 +71,21 @@
             ensure(!dataPlane.rejectsNewRequests(received.receivedAt)) {
                 Rejection.Temporary(RefusalCause.ENTRY_LEAVING, Duration.ZERO)
             }
-            ensure(!isFull(dataPlane)) { temporaryRejection(RefusalCause.ENTRY_LIMIT) }
+            ensure(dataPlane.openExchangeCount < MAX_OPEN_EXCHANGES) { temporaryRejection(RefusalCause.ENTRY_LIMIT) }
             val route = ensureNotNull(route(configuration, received)) { rejectUnknown(NOT_FOUND, "unknown-route") }
             val head = dataPlane.wire.readRequest(received.head.headers())
             val id = ensureNotNull(head.requestId) { Rejection.Permanent(BAD_REQUEST, "missing-identity") }
             val policy = if (route.isPublic || !configuration.needsKeys) null else workspacePolicy(configuration, head)
             val isChargedByPeer = !isOfPeer && dataPlane.relays.forwardsAll(route)
             val charge = if (isChargedByPeer) null else policy?.let { chargeQuota(it, head) }
-            val request = request(received, route, head, id, policy)
-            if (!isChargedByPeer) ensureCapacity(request, charge, received)
-            Admitted(request, charge)
-        }
-
-    /** Rejects a request that is not admitted while capacity is short, and returns its charge to the quota. */
-    private fun Raise<Rejection>.ensureCapacity(
-        request: ForwardRequest,
-        charge: Exchange.QuotaCharge?,
-        received: ReceivedRequest,
-    ) {
-        val decision = dataPlane.shortage.decide(request, received.receivedAt)
-        if (decision is AdmissionDecision.Reject) {
-            charge?.refund(dataPlane)
-            raise(Rejection.CapacityShort(request, decision))
+            Admitted(request(received, route, head, id, policy), charge)
         }
-    }
 
     private fun Raise<Rejection>.workspacePolicy(
         configuration: ForwardConfiguration,
         head: RequestHead,
     ): WorkspacePolicy {
-        ensure(!areKeysUnconfirmed(dataPlane)) { temporaryRejection(RefusalCause.UNCONFIRMED_KEYS) }
+        ensure(!areKeysUnconfirmed()) { temporaryRejection(RefusalCause.UNCONFIRMED_KEYS) }
         return ensureNotNull(head.key?.let { configuration.workspacesByKey[it] }) {
             rejectUnknown(UNAUTHORIZED, "unknown-key")
         }
@@ -159,6 +134,12 @@
         return Exchange(dataPlane, caller, admitted.request, received.head, received.body, admitted.charge)
     }
 
+    /** Returns whether the last confirmation is so old that a key may have been revoked since. */
+    private fun areKeysUnconfirmed(): Boolean {
+        val age = dataPlane.confirmationAge() ?: return true
+        return age >= dataPlane.settings.bounds.maxConfirmationAge - CONFIRMATION_MARGIN
+    }
+
     /**
      * Returns the rejection of an unknown route or key.
      *
@@ -190,33 +171,18 @@
             override val code: String get() = cause.code
         }
 
-        /** Demand exceeds the capacity of the service of [request]. */
-        class CapacityShort(val request: ForwardRequest, val decision: AdmissionDecision.Reject) : Rejection {
-            val cause: RefusalCause get() = RefusalCause.CAPACITY_SHORT
-            override val code: String get() = cause.code
-        }
-
         class Permanent(val status: Int, override val code: String) : Rejection
     }
 
-    companion object {
-        private const val NOT_FOUND = 404
-        private const val BAD_REQUEST = 400
-        private const val UNAUTHORIZED = 401
-        private const val MAX_OPEN_EXCHANGES = 1_000
-        private const val MAX_LOGGED_PATH_CHARS = 100
-        private const val MIN_RETRY_AFTER_MILLIS = 200
-        private const val MAX_RETRY_AFTER_MILLIS = 700
-        private val CONFIRMATION_MARGIN = 150.milliseconds
-        private val MAX_CURRENT_AGE = 1_900.milliseconds
-
-        /** Returns whether the entry has as many open requests as it takes. */
-        fun isFull(dataPlane: DataPlane): Boolean = dataPlane.openExchangeCount >= MAX_OPEN_EXCHANGES
-
-        /** Returns whether the last confirmation is so old that a key may have been revoked since. */
-        fun areKeysUnconfirmed(dataPlane: DataPlane): Boolean {
-            val age = dataPlane.confirmationAge() ?: return true
-            return age >= dataPlane.settings.bounds.maxConfirmationAge - CONFIRMATION_MARGIN
-        }
+    private companion object {
+        const val NOT_FOUND = 404
+        const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
+        const val MAX_OPEN_EXCHANGES = 1_000
+        const val MAX_LOGGED_PATH_CHARS = 100
+        const val MIN_RETRY_AFTER_MILLIS = 200
+        const val MAX_RETRY_AFTER_MILLIS = 700
+        val CONFIRMATION_MARGIN = 150.milliseconds
+        val MAX_CURRENT_AGE = 1_900.milliseconds
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Gateway.kt
@@ -54,8 +54,8 @@
         val gatewayPorts = ports(PlatformHttpClient(controlLoop), metrics)
         val trafficLoop = trafficGroup.next()
         dataPlane = DataPlane(settings, gatewayPorts.wire, trafficLoop, log, metrics, loopDelay = loopDelay)
-        controlPlane = ControlPlane(dataPlane, gatewayPorts.store, gatewayPorts.storeEra, gatewayPorts.source, log)
-        peers = PeerGossip(dataPlane, controlPlane, EntryRegistrations(gatewayPorts, settings, log), log, incarnation)
+        controlPlane = ControlPlane(dataPlane, gatewayPorts.store, gatewayPorts.source, log)
+        peers = PeerGossip(dataPlane, controlPlane, gatewayPorts.store, log, incarnation)
         val scope = CoroutineScope(SupervisorJob() + controlLoop.asCoroutineDispatcher() + exceptionHandler())
         startQuarantine(QuarantineArchive(gatewayPorts.store, log), scope)
         peers.start(controlGroup, scope)
@@ -64,8 +64,7 @@
         startRollouts(gatewayPorts, lease, scope)
         gatewayPorts.duties?.let { duties ->
             peers.dutyFencingNumber = { lease.fencingNumber ?: 0 }
-            val era = gatewayPorts.storeEra
-            Duties(controlPlane, peers, lease, era, duties, dataPlane.usageWindows, settings.name, log).start(scope)
+            Duties(controlPlane, peers, lease, duties, dataPlane.usageWindows, settings.name, log).start(scope)
         }
         controlPlane.start(scope)
         isListening = true
@@ -103,14 +102,7 @@
         val listeners = Listeners(controlGroup)
         listeners.listenForSmallRequests(settings.readinessEndpoint) { answers.readiness(it, controlPlane.isReady()) }
         listeners.listenForSmallRequests(settings.addressEndpoint) { answers.addresses(it, callerAddresses()) }
-        val explainer = RequestExplainer(dataPlane)
-        listeners.listenForDeferredRequests(settings.metricsEndpoint) { uri, reply ->
-            if (explainer.isFor(uri)) {
-                dataPlane.loop.execute { reply(explainer.answer(uri)) }
-            } else {
-                reply(SmallAnswer(OK, metrics.scrape()))
-            }
-        }
+        listeners.listenForSmallRequests(settings.metricsEndpoint) { SmallAnswer(OK, metrics.scrape()) }
     }
 
     private fun callerAddresses(): List<String> {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/GatewayPorts.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/GatewayPorts.kt
@@ -11,7 +11,6 @@
  * @property wire reads and writes the headers of callers and backend servers
  * @property source decodes the objects in [store]
  * @property store the platform's object store
- * @property storeEra era that the answers of [store] name
  * @property rolloutStatuses writes how far ordered moves of services are
  * @property duties the platform's calls for the duties, null where this entry performs no duties
  */
@@ -19,7 +18,6 @@
     public val wire: WireProtocol,
     public val source: FleetSource,
     public val store: ObjectStore,
-    public val storeEra: StoreEra,
     public val rolloutStatuses: RolloutStatusCalls,
     public val duties: DutyCalls?,
 )
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/GatewaySettings.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/GatewaySettings.kt
@@ -16,8 +16,6 @@
  * @property storeEndpoint address of the platform's object API
  * @property dutyEndpoint address of the platform's API for usage reports and capacity orders, null where there is none
  * @property bounds limits that hold for all entries together
- * @property usesReportedPace whether servers that report the pace of their machine are chosen by it, with shared
- *   observations, learned prompt caches and admission control while capacity is short
  */
 public data class GatewaySettings(
     public val name: String,
@@ -30,5 +28,4 @@
     public val storeEndpoint: Endpoint,
     public val dutyEndpoint: Endpoint? = null,
     public val bounds: GatewayBounds = GatewayBounds(),
-    public val usesReportedPace: Boolean = false,
 )
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/HttpReply.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/HttpReply.kt
@@ -2,12 +2,8 @@
 
 /** The outcome of an HTTP call to the platform. */
 public sealed interface HttpReply {
-    /** The platform answered with [status] and [body]; [header] returns the value of a header, null without one. */
-    public class Answered(
-        public val status: Int,
-        public val body: String,
-        public val header: (name: String) -> String? = { null },
-    ) : HttpReply
+    /** The platform answered with [status] and [body]. */
+    public class Answered(public val status: Int, public val body: String) : HttpReply
 
     /** The request was not sent, so the platform did not carry it out. */
     public class NotSent(public val detail: String) : HttpReply
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Listeners.kt
@@ -56,13 +56,6 @@
 
     /** Listens at [endpoint] for requests about the entry itself; [answer] gets the path and query of each. */
     fun listenForSmallRequests(endpoint: Endpoint, answer: (uri: String) -> SmallAnswer): Channel =
-        listenForDeferredRequests(endpoint) { uri, reply -> reply(answer(uri)) }
-
-    /** Like [listenForSmallRequests], for answers that another thread may pass to `reply` later. */
-    fun listenForDeferredRequests(
-        endpoint: Endpoint,
-        answer: (uri: String, reply: (SmallAnswer) -> Unit) -> Unit,
-    ): Channel =
         listen(endpoint) { channel ->
             channel.pipeline().addLast(
                 HttpServerCodec(),
@@ -88,19 +81,16 @@
             .syncUninterruptibly()
             .channel()
 
-    private class SmallAnswerHandler(private val answer: (uri: String, reply: (SmallAnswer) -> Unit) -> Unit) :
+    private class SmallAnswerHandler(private val answer: (uri: String) -> SmallAnswer) :
         SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            val isKeptOpen = HttpUtil.isKeepAlive(request)
-            answer(request.uri()) { write(it, context, isKeptOpen) }
-        }
-
-        private fun write(answered: SmallAnswer, context: ChannelHandlerContext, isKeptOpen: Boolean) {
+            val answered = answer(request.uri())
             val body = Unpooled.copiedBuffer(answered.body, Charsets.UTF_8)
             val status = HttpResponseStatus.valueOf(answered.status)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, answered.contentType)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            val isKeptOpen = HttpUtil.isKeepAlive(request)
             if (!isKeptOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             val written = context.writeAndFlush(response)
             if (!isKeptOpen) written.addListener(ChannelFutureListener.CLOSE)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -27,12 +27,18 @@
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoredObject
 import org.yuccajunction.quota.UsageTotals
 import org.yuccajunction.rollout.MoveReport
 import java.net.InetSocketAddress
-import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Exchanges heartbeats and membership updates with peers by datagrams.
@@ -44,7 +50,7 @@
 internal class PeerGossip(
     private val dataPlane: DataPlane,
     private val controlPlane: ControlPlane,
-    private val registrations: EntryRegistrations,
+    private val store: ObjectStore,
     private val log: DecisionLog,
     private val incarnation: Long,
 ) {
@@ -54,9 +60,6 @@
     private var usageSentAt: MonotonicTime? = null
     private var ownOpenRequests: Map<String, Int> = emptyMap()
     private var ownBusyServers: Map<String, Double> = emptyMap()
-
-    /** Hands over what has arrived within a short time, since all peers report while capacity is short. */
-    private val handOver = CoalescedCall(HAND_OVER_DELAY_MILLIS, ::handOverHeartbeats)
     private lateinit var channel: Channel
 
     val table = PeerTable(settings.name, startedAt = dataPlane.now())
@@ -83,12 +86,53 @@
                 .bind(settings.peerEndpoint.host, settings.peerEndpoint.port)
                 .syncUninterruptibly()
                 .channel()
-        scope.launchRestarting(log, "registration") {
-            registrations.follow({ controlPlane.confirmsWithStore }) { name, address ->
-                table.addRegistration(name, address, dataPlane.now())
+        scope.launchRestarting(log, "registration") { register() }
+        scope.launchRestarting(log, "heartbeats") { sendHeartbeatsRepeatedly() }
+    }
+
+    /**
+     * Registers this entry in the store, then lists the registrations of all entries again and again.
+     *
+     * The write comes first, so that of two entries that start together at least one finds the other.
+     */
+    private suspend fun register() {
+        while (true) {
+            val writing = writeRegistration()
+            if (writing is ObjectWriting.Written) break
+            retryLater("write", writing)
+        }
+        while (true) {
+            when (val listing = store.list(REGISTRATION_KIND)) {
+                is ObjectListing.Listed -> {
+                    listing.objects.forEach(::addRegistration)
+                    delay(REGISTRATION_LIST_INTERVAL)
+                }
+                else -> retryLater("list", listing)
             }
         }
-        scope.launchRestarting(log, "heartbeats") { sendHeartbeatsRepeatedly() }
+    }
+
+    private fun addRegistration(stored: StoredObject) {
+        val address = stored.value?.trim('"') ?: return
+        table.addRegistration(stored.key.substringAfter('/'), address, dataPlane.now())
+    }
+
+    private suspend fun retryLater(call: String, outcome: Any) {
+        log.write(LogEvent.REGISTRATION_FAILED) {
+            field("call", call)
+            field("outcome", outcome)
+        }
+        delay(REGISTRATION_RETRY_DELAY)
+    }
+
+    private suspend fun writeRegistration(): ObjectWriting {
+        val key = "$REGISTRATION_KIND/${settings.name}"
+        val value = "\"${settings.peerEndpoint}\""
+        val writing = store.write(key, value, ExpectedVersion.Absent)
+        if (writing is ObjectWriting.Written) return writing
+        val stored = (store.read(key) as? ObjectReading.Found)?.stored ?: return writing
+        if (stored.value == value) return ObjectWriting.Written(stored.version)
+        return store.write(key, value, ExpectedVersion.Is(stored.version))
     }
 
     /** Returns the demand for servers of [service] at all live entries together. */
@@ -115,9 +159,8 @@
      */
     fun exchangeHeartbeats(isBroadcast: Boolean = false) {
         handOverHeartbeats()
-        val passesOnUsage = table.isLargeFleet() && !isBroadcast
         dataPlane.loop.execute {
-            val report = dataPlane.report(passesOnUsage)
+            val report = dataPlane.report()
             channel.eventLoop().execute { sendHeartbeat(report, isBroadcast) }
         }
     }
@@ -128,7 +171,7 @@
         val live = table.livePeers(dataPlane.now()).map { it.name } + settings.name
         controlPlane.updateEntries(live.sorted())
         val known = table.knownEntries()
-        dataPlane.loop.execute { dataPlane.peerReports.accept(heartbeats, live.toSet(), known) }
+        dataPlane.loop.execute { dataPlane.acceptHeartbeats(heartbeats, live.toSet(), known) }
     }
 
     private fun sendHeartbeat(report: TrafficReport, isBroadcast: Boolean) {
@@ -197,9 +240,6 @@
             unreachableServices = report.unreachableServices,
             brittleServices = report.brittleServices,
             rejectionAgesMillis = report.rejectionAgesMillis,
-            serverObservations = report.pacedServices.observations,
-            usageReport = report.usageReport,
-            demand = report.pacedServices.demand,
         )
 
     private fun handleDatagram(bytes: ByteArray, sender: InetSocketAddress) {
@@ -227,11 +267,7 @@
         if (!table.recordHeartbeat(heartbeat, now)) return
         usageTotals.replaceCounts("${heartbeat.name}/${heartbeat.incarnation}", message.usage)
         newHeartbeats += heartbeat
-        val isUrgent = table.isLargeFleet() || heartbeat.demand.any { it.occupancy.isFull }
-        when {
-            heartbeat.quarantine.hasFreshEvidence -> handOverHeartbeats()
-            isUrgent -> handOver.request(channel.eventLoop())
-        }
+        if (heartbeat.quarantine.hasFreshEvidence) handOverHeartbeats()
     }
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -251,9 +287,11 @@
     }
 
     private companion object {
-        const val HAND_OVER_DELAY_MILLIS = 50L
+        const val REGISTRATION_KIND = "entry-registrations"
         const val MIN_JITTER = 0.9
         const val MAX_JITTER = 1.1
+        val REGISTRATION_RETRY_DELAY = 500.milliseconds
+        val REGISTRATION_LIST_INTERVAL = 20.seconds
         val USAGE_SEND_INTERVAL = 800.milliseconds
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
@@ -115,7 +115,7 @@
             answer = null
             if (waiting == null || !HttpUtil.isKeepAlive(response)) context.close()
             val body = response.content().toString(Charsets.UTF_8)
-            waiting?.complete(HttpReply.Answered(response.status().code(), body, response.headers()::get))
+            waiting?.complete(HttpReply.Answered(response.status().code(), body))
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -12,7 +12,6 @@
 import io.netty.util.ReferenceCountUtil
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.BackendServer
-import org.yuccajunction.fleet.LoadReport
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.model.MonotonicTime
 import java.io.IOException
@@ -114,7 +113,7 @@
 
     private fun beginAnswer(current: ServerAttempt, response: HttpResponse) {
         val head = dataPlane.wire.readAnswer(response)
-        head.load?.let(::recordLoad)
+        head.load?.let { dataPlane.loadBalancer.recordLoadReport(server.id, it, dataPlane.now()) }
         head.keepAliveSeconds?.let { serverKeepAlive = it.seconds }
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
         if (!head.isMisplaced && !server.isPeerEntry) recordNotices(head)
@@ -134,13 +133,6 @@
     private fun leavesUncertain(head: AnswerHead): Boolean =
         head.closesConnection || head.requestId == null && head.status >= OK && !server.isPeerEntry
 
-    private fun recordLoad(reported: LoadReport) {
-        val report = if (dataPlane.settings.usesReportedPace) reported else reported.copy(pacePercent = null)
-        dataPlane.loadBalancer.recordLoadReport(server.id, report, dataPlane.now())
-        dataPlane.metrics.observationsRecorded("own", 1)
-        dataPlane.shortage.recordLoadReport(server, report, dataPlane.now())
-    }
-
     /** Records what the server says of the requests that it takes, in an answer to whichever request. */
     private fun recordNotices(head: AnswerHead) {
         recordLimit(head)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreHealth.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/StoreHealth.kt
@@ -6,11 +6,11 @@
 import org.yuccajunction.control.LogEvent
 
 /**
- * Records whether the platform's store answers this entry, and in which era.
+ * Records whether the platform's store answers this entry.
  *
  * While the store is unavailable, only the follower of the configuration goes on asking.
  */
-internal class StoreHealth(private val log: DecisionLog, val era: StoreEra = StoreEra()) {
+internal class StoreHealth(private val log: DecisionLog) {
     private val available = MutableStateFlow(true)
 
     val isAvailable: StateFlow<Boolean> get() = available
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficMetrics.kt
@@ -4,8 +4,6 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import org.yuccajunction.forward.ForwardRequest
-import org.yuccajunction.forward.RefusalCause
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -43,36 +41,11 @@
         loopDelay.record(nanos, TimeUnit.NANOSECONDS)
     }
 
-    /** Counts a [request] that was rejected because the capacity of its service is short. */
-    internal fun requestRejectedForShortage(request: ForwardRequest) {
-        val workspace = request.workspace?.value ?: "public"
-        val cause = RefusalCause.CAPACITY_SHORT.code
-        registry
-            .counter(
-                "yuccajunction.forward.rejected",
-                "workspace",
-                workspace,
-                "class",
-                request.className,
-                "cause",
-                cause,
-            )
-            .increment()
-    }
-
-    private val ForwardRequest.className: String
-        get() = "${if (route.isStream) "stream" else "call"}-${route.rank}"
-
     /** Counts a call to the platform's store that ended with [outcome]. */
     public fun storeCallEnded(outcome: String) {
         registry.counter("yuccajunction.store.calls", "outcome", outcome).increment()
     }
 
-    /** Counts [count] load reports of servers from [source] that were newer than what was known. */
-    public fun observationsRecorded(source: String, count: Int) {
-        registry.counter("yuccajunction.forward.observations", "source", source).increment(count.toDouble())
-    }
-
     /** Records the [ratio] of the measured to the predicted latency of an answer of [service]. */
     public fun latencyPredicted(service: String, ratio: Double) {
         predictions.getOrPut(service) { predictionSummary(service) }.record(ratio)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/TrafficReport.kt
@@ -1,7 +1,6 @@
 package org.yuccajunction.gateway
 
 import org.yuccajunction.quarantine.QuarantineReport
-import org.yuccajunction.quota.UsageReport
 
 /**
  * Holds the counts that the traffic thread hands to the control thread for the next heartbeat.
@@ -16,8 +15,6 @@
  * @property unreachableServices services of which this entry reaches no server
  * @property brittleServices rejections per second that each server of a service stands, where its answers name that
  * @property rejectionAgesMillis milliseconds since the last rejection by each such service, where it was lately
- * @property usageReport further counts of the usage of quotas
- * @property pacedServices what this entry observes and is asked for of services whose servers report their pace
  * @property quarantine what this entry knows of requests and prompt parts under which servers have ended
  */
 internal class TrafficReport(
@@ -32,6 +29,4 @@
     val unreachableServices: List<String>,
     val brittleServices: Map<String, Double>,
     val rejectionAgesMillis: Map<String, Long>,
-    val usageReport: UsageReport,
-    val pacedServices: PacedServiceReport,
 )
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/FaultyInputTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/FaultyInputTest.kt
@@ -35,7 +35,7 @@
                 val odd = heartbeat("odd").copy(brittleServices = mapOf("" to 1.0))
                 val good = heartbeat("good").copy(leavingServers = listOf("other/1"))
                 fixture.onLoop {
-                    fixture.dataPlane.peerReports.accept(listOf(odd, good), setOf("entry", "odd", "good"), 3)
+                    fixture.dataPlane.acceptHeartbeats(listOf(odd, good), setOf("entry", "odd", "good"), 3)
                 }
                 fixture.onLoop {
                     assertContains(fixture.dataPlane.loadBalancer.notices.leavingIncarnations(), "other/1")
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -44,7 +44,6 @@
     private val anyPort = Endpoint(loopback, 0)
     private val settings =
         GatewaySettings("entry", AvailabilityZone("zone"), anyPort, anyPort, anyPort, anyPort, anyPort, anyPort)
-            .copy(usesReportedPace = true)
 
     /** Time in milliseconds for which the machine appears to have been suspended. */
     @Volatile
@@ -80,7 +79,7 @@
                 availabilityZone = "zone",
                 isReady = true,
             )
-        onLoop { dataPlane.peerReports.accept(listOf(heartbeat), setOf("entry", name), known = 2) }
+        onLoop { dataPlane.acceptHeartbeats(listOf(heartbeat), setOf("entry", name), known = 2) }
     }
 
     /** Returns the number of executions that this entry has counted for usage reports. */
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/TestWire.kt
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import kotlinx.collections.immutable.toPersistentList
-import org.yuccajunction.fleet.LoadReport
 import org.yuccajunction.forward.PromptPart
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,14 +42,9 @@
             isMisplaced = response.status().code() == 421,
             isSigned = response.headers().contains("signature"),
             isEncoded = response.headers().contains("content-encoding"),
-            load = response.headers().get("load")?.let(::readLoad),
+            load = null,
             pause = response.headers().get("pause")?.toInt()?.seconds,
             keepAliveSeconds = null,
             closesConnection = response.headers().contains("connection", "close", true),
         )
-
-    private fun readLoad(text: String): LoadReport {
-        val figures = text.split(',').map { it.toInt() }
-        return LoadReport(figures[0], figures[1], figures[2], figures.getOrNull(3))
-    }
 }
