--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AcceptRecorder.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AcceptRecorder.kt
@@ -4,7 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import org.yuccajunction.overload.AcceptQueueAge
 
-/** Tells [dataPlane] how long each connection that a listening socket accepts may have waited. */
+/** Records for [dataPlane] how long each connection that a listening socket accepts may have waited. */
 internal class AcceptRecorder(private val dataPlane: DataPlane) : ChannelInboundHandlerAdapter() {
     private val age = AcceptQueueAge(dataPlane.loopDelay, ACCEPTS_PER_TURN)
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -174,7 +174,7 @@
         val DUTY_INTERVAL = 500.milliseconds
         val TAKEOVER_AFTER = 2.seconds
 
-        /** Time without a renewal after which the holder renews, so that it notices early that it has lost the store. */
+        /** Time without a renewal after which the holder renews, to notice early that it does not reach the store. */
         val LONGEST_RENEWAL_INTERVAL = 2.seconds
         const val USAGE_SETTLING_MILLIS = 1_800L
         const val REMEMBERED_WINDOWS = 6
