--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -39,21 +40,14 @@
             self.file.flush()
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
-
-
 _taken = set()
 
 
 def free_ports(count):
     """Returns ports that are free now, below the usual range of outgoing connections."""
     ports = []
-    port = 20000 + os.getpid() * 13 % 9000
     while len(ports) < count:
-        port += 1
+        port = random.randrange(20000, 31000)
         if port in _taken:
             continue
         try:
@@ -67,6 +61,22 @@
     return ports
 
 
+def free_pair():
+    """Returns the first of two adjacent free ports."""
+    while True:
+        first, = free_ports(1)
+        if first + 1 in _taken:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind((LOOPBACK, first + 1))
+        except OSError:
+            continue
+        _taken.add(first + 1)
+        return first
+
+
 class RawValue:
     """A JSON value of another writer, kept as its text."""
 
@@ -296,7 +306,9 @@
 
     def __init__(self, name, zone, platform, folder, record, zones):
         self.name, self.zone, self.record = name, zone, record
-        front, readiness, directory, peer, metrics = free_ports(5)
+        front, readiness, directory = free_ports(3)
+        peer = free_pair()
+        metrics = peer + 1
         self.front, self.readiness, self.directory = front, readiness, directory
         self.settings = os.path.join(folder, f"{name}.json")
         self.log = os.path.join(folder, f"{name}.log")
