Let the fencing number and the usage totals outlast a restore of the store

Cause: DutyLease took the next number from the stored record alone, and the restore had undone the record with the highest number; the entry that knew it had just been stopped. Usage totals that were lost with the record were counted anew.

Change: the store's port names the newest era that an answer bore, and answers of a former era count as lost. Nothing that was read in one era is used in the next. The numbers of an era begin above all those of the eras before it, so that no one needs to remember the highest. Known totals are merged into the next record; a window that had ended when an entry first saw the era gets no new total.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/control/LogEvent.kt
@@ -127,6 +127,11 @@
         LogLevel.WARN,
         "This entry could not register or read the other entries' registrations; it retries.",
     ),
+    USAGE_WITHHELD(
+        9016,
+        LogLevel.WARN,
+        "The total of a usage window may have been reported and then been lost in a restore of the store.",
+    ),
     CONTROL_TASK_FAILED(
         9015,
         LogLevel.ERROR,
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -8,6 +8,7 @@
 import org.yuccajunction.port.ObjectStore
 import org.yuccajunction.port.ObjectVersion
 import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoreEra
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -21,6 +22,10 @@
  * shows that the former holder has not renewed since. A holder that was paused while another entry took over gets a
  * conflict on its next write.
  *
+ * A restore of the store may undo records, so nothing that was read before it is used after it. The numbers of an era
+ * are above all those of the eras before: an entry that was the holder, also one that the restored record names, takes
+ * the duties over again. What this entry knows of undone records goes into its next one.
+ *
  * @param holder name of this entry's instance
  * @param incarnation Unix time in milliseconds of this process's start
  * @property now returns the time of a clock that also advances while the process is suspended
@@ -31,9 +36,14 @@
     private val incarnation: Long,
     public val now: () -> MonotonicTime,
 ) {
-    private var cached: StoredRecord? = null
+    private var lastRecord: StoredRecord? = null
     private var isWriteOutcomeUnknown = false
 
+    /** The newest record that the store has confirmed, whether or not a restore has undone it since. */
+    private var newestConfirmed: DutyRecord? = null
+
+    private val cached: StoredRecord? get() = lastRecord?.takeIf { it.era == store.era }
+
     /** Fencing number that this entry has taken, also by a write of unknown outcome, with the time of the last read. */
     private var acquisition: Acquisition? = null
     private var renewedAt: MonotonicTime? = null
@@ -41,6 +51,9 @@
     /** The fencing number if the cached record names this incarnation as the holder, null otherwise. */
     public val fencingNumber: Long? get() = cached?.record?.takeIf(::isOwn)?.fencingNumber
 
+    /** The newest known era of the object API that keeps the duty record. */
+    public val storeEra: StoreEra? get() = store.era
+
     /** Time since the start of the last renewal, null before the first. */
     public val renewalAge: Duration? get() = renewedAt?.let { now() - it }
 
@@ -50,7 +63,10 @@
     /** Returns the cached duty record, or reads it from the store if none is cached. */
     public suspend fun readRecord(): DutyReading {
         cached?.let { return DutyReading.Found(it.record) }
-        return when (val reading = store.read(RECORD_KEY)) {
+        val era = store.era
+        val reading = store.read(RECORD_KEY)
+        if (store.era != era) return DutyReading.Unavailable("the store's era became ${store.era} during the call")
+        return when (reading) {
             is ObjectReading.Absent -> DutyReading.Absent
             is ObjectReading.Unavailable -> DutyReading.Unavailable(reading.detail)
             is ObjectReading.Found -> decode(reading)
@@ -64,16 +80,22 @@
             } catch (exception: SerializationException) {
                 return DutyReading.Unavailable("duty record $RECORD_KEY can't be decoded: ${exception.message}")
             }
-        cached = StoredRecord(record, reading.stored.version, now())
+        confirm(record, reading.stored.version)
         isWriteOutcomeUnknown = false
         val isAcquired = acquisition?.fencingNumber == record.fencingNumber
         if (isOwn(record) && !isAcquired) acquisition = Acquisition(record.fencingNumber, now())
         return DutyReading.Found(record)
     }
 
+    private fun confirm(record: DutyRecord, version: ObjectVersion) {
+        lastRecord = StoredRecord(record, version, now(), store.era)
+        newestConfirmed =
+            listOfNotNull(newestConfirmed, record).maxWith(compareBy({ it.fencingNumber }, { it.renewals }))
+    }
+
     /** Clears the cached record, so that the next call reads it from the store. */
     public fun clearCache() {
-        cached = null
+        lastRecord = null
         isWriteOutcomeUnknown = false
     }
 
@@ -83,13 +105,14 @@
         if (reading is DutyReading.Unavailable) return false
         val former = cached?.record
         if (former != null && isOwn(former)) return true
+        val undone = newestConfirmed.takeUnless { isOfPresentEra(former) }
         val record =
             DutyRecord(
                 holder = holder,
                 incarnation = incarnation,
-                fencingNumber = (former?.fencingNumber ?: 0) + 1,
-                totals = former?.totals.orEmpty(),
-                baseline = former?.baseline.orEmpty(),
+                fencingNumber = nextFencingNumber(),
+                totals = undone?.totals.orEmpty() + former?.totals.orEmpty(),
+                baseline = undone?.baseline.orEmpty() + former?.baseline.orEmpty(),
             )
         val lastForeignWriteBy = cached?.readAt ?: now()
         if (!write(record)) return false
@@ -97,6 +120,25 @@
         return true
     }
 
+    /**
+     * Returns a number above the cached record's and above all that were used before the last restore of the store.
+     *
+     * Within an era, the version of the replaced record makes it unique even if that record's number was lost.
+     */
+    private fun nextFencingNumber(): Long {
+        val next = (cached?.record?.fencingNumber ?: 0) + 1
+        val firstOfEra = firstNumberOfEra() ?: return next
+        return maxOf(next, firstOfEra + (cached?.version?.value ?: 0))
+    }
+
+    private fun firstNumberOfEra(): Long? = store.era?.let { it.value * NUMBERS_PER_ERA }
+
+    /** Returns whether [record] was written since the last restore of the store, or the store names no eras. */
+    private fun isOfPresentEra(record: DutyRecord?): Boolean {
+        val firstOfEra = firstNumberOfEra() ?: return true
+        return record != null && record.fencingNumber >= firstOfEra
+    }
+
     /**
      * Renews the lease by a conditional write; returns null where this entry must not start a call now.
      *
@@ -131,22 +173,34 @@
 
     private suspend fun write(record: DutyRecord): Boolean {
         val expected = cached?.let { ExpectedVersion.Is(it.version) } ?: ExpectedVersion.Absent
+        val era = store.era
         val writing = store.write(RECORD_KEY, Json.encodeToString(DutyRecord.serializer(), record), expected)
+        if (store.era != era) {
+            // The version that the write named may have been given out again to the record of another holder.
+            clearCache()
+            return false
+        }
         when (writing) {
-            is ObjectWriting.Written -> cached = StoredRecord(record, writing.version, now())
+            is ObjectWriting.Written -> confirm(record, writing.version)
             is ObjectWriting.Refused -> Unit
             is ObjectWriting.Conflict -> clearCache()
             is ObjectWriting.Unknown -> {
-                cached = null
+                lastRecord = null
                 isWriteOutcomeUnknown = isOwn(record)
             }
         }
         return writing is ObjectWriting.Written
     }
 
-    private fun isOwn(record: DutyRecord): Boolean = record.holder == holder && record.incarnation == incarnation
+    private fun isOwn(record: DutyRecord): Boolean =
+        record.holder == holder && record.incarnation == incarnation && isOfPresentEra(record)
 
-    private class StoredRecord(val record: DutyRecord, val version: ObjectVersion, val readAt: MonotonicTime)
+    private class StoredRecord(
+        val record: DutyRecord,
+        val version: ObjectVersion,
+        val readAt: MonotonicTime,
+        val era: StoreEra?,
+    )
 
     /** A taken [fencingNumber]; no other holder has written the record after [lastForeignWriteBy]. */
     private class Acquisition(val fencingNumber: Long, val lastForeignWriteBy: MonotonicTime)
@@ -161,6 +215,9 @@
         /** Time that a new holder waits before its first call, from its reading of the former holder's record. */
         public val TAKEOVER_DELAY: Duration = 2_500.milliseconds
 
+        /** Fencing numbers of one era: more than an object API gives out versions. */
+        private const val NUMBERS_PER_ERA = 1L shl 40
+
         /** Newest usage windows whose totals the record keeps. */
         private const val MAX_KEPT_WINDOWS = 4
     }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ObjectStore.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/port/ObjectStore.kt
@@ -8,6 +8,9 @@
  * The platform counts and charges each call.
  */
 public interface ObjectStore {
+    /** The newest era that an answer has named, null while none has named one. */
+    public val era: StoreEra? get() = null
+
     /** Reads the object at [key]. */
     public suspend fun read(key: String): ObjectReading
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Duties.kt
@@ -9,6 +9,7 @@
 import org.yuccajunction.duty.DutyLease
 import org.yuccajunction.duty.DutyReading
 import org.yuccajunction.duty.ServiceDemand
+import org.yuccajunction.duty.UncountedWindows
 import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.MonotonicTime
@@ -34,6 +35,7 @@
     private val log: DecisionLog,
 ) {
     private val orderPlanner = CapacityOrderPlanner()
+    private val uncountedWindows = UncountedWindows(windows)
     private val reportedWindows = HashSet<Long>()
     private var leaseUnheldSince: MonotonicTime? = null
     private var heldFencingNumber: Long? = null
@@ -49,6 +51,7 @@
     }
 
     private suspend fun performDuties() {
+        uncountedWindows.recordEra(lease.storeEra, System.currentTimeMillis())
         val highestPeerNumber = peers.table.livePeers(controlPlane.now()).map { it.dutyFencingNumber }.maxOrNull() ?: 0
         if (highestPeerNumber > (lease.fencingNumber ?: 0)) {
             lease.clearCache()
@@ -108,9 +111,9 @@
     }
 
     private suspend fun reportWindow(window: Long) {
-        val counted = peers.usageTotals.total(window)
-        val grant = lease.renew(totals = mapOf(window to counted)) ?: return
-        val counts = grant.record.totals[window] ?: return
+        val counted = if (window in uncountedWindows) mapOf(window to peers.usageTotals.total(window)) else emptyMap()
+        val grant = lease.renew(totals = counted) ?: return
+        val counts = grant.record.totals[window] ?: return withholdReport(window)
         if (!grant.isValid(leaseNow())) return
         val outcome = calls.reportUsage(grant.fencingNumber, window, counts)
         if (outcome is DutyOutcome.Accepted) reportedWindows += window
@@ -122,6 +125,14 @@
         }
     }
 
+    private fun withholdReport(window: Long) {
+        reportedWindows += window
+        log.write(LogEvent.USAGE_WITHHELD) {
+            field("window", window)
+            field("era", lease.storeEra)
+        }
+    }
+
     private suspend fun orderCapacity() {
         val services = controlPlane.fleet.configuration?.services?.values.orEmpty().filter { it.scaling != null }
         for (service in services) {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/HttpReply.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/HttpReply.kt
@@ -2,8 +2,12 @@
 
 /** The outcome of an HTTP call to the platform. */
 public sealed interface HttpReply {
-    /** The platform answered with [status] and [body]. */
-    public class Answered(public val status: Int, public val body: String) : HttpReply
+    /** The platform answered with [status], [body] and [headers], whose names are in lower case. */
+    public class Answered(
+        public val status: Int,
+        public val body: String,
+        public val headers: Map<String, String> = emptyMap(),
+    ) : HttpReply
 
     /** The request was not sent, so the platform did not carry it out. */
     public class NotSent(public val detail: String) : HttpReply
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
@@ -115,7 +115,8 @@
             answer = null
             if (waiting == null || !HttpUtil.isKeepAlive(response)) context.close()
             val body = response.content().toString(Charsets.UTF_8)
-            waiting?.complete(HttpReply.Answered(response.status().code(), body))
+            val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
+            waiting?.complete(HttpReply.Answered(response.status().code(), body, headers))
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
