End an answer without a length only by the server's own end of the connection

Cause: the reset showed in the pending write, for which the connection was closed without an exception in the pipeline. The decoder ends such a body at any close, and finishAnswer asked for an exception alone. A close by the entry itself would have ended it too.

Change: connections to servers allow half-closure, so that the end of the input is reported apart from a close. Only that end, after the whole request was written and without an error, proves the end of such an answer or stream.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAnswerDecoder.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAnswerDecoder.kt
@@ -1,5 +1,7 @@
 package org.yuccajunction.gateway
 
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -8,9 +10,18 @@
 internal class ServerAnswerDecoder : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)) {
     var isAnswerToHead = false
 
+    /** Whether the server has ended the connection in an orderly way, after all that it has sent. */
+    var isInputEnded = false
+        private set
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         isAnswerToHead || super.isContentAlwaysEmpty(message)
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event === ChannelInputShutdownEvent.INSTANCE) isInputEnded = true
+        super.userEventTriggered(context, event)
+    }
+
     private companion object {
         const val MAX_HEADER_BYTES = 65_536
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -189,7 +190,7 @@
     }
 
     private fun finishAnswer(reader: AnswerReader) {
-        if (reader.isCloseDelimited && hasConnectionError) return failAttempt(AttemptEnd.BROKEN)
+        if (reader.isCloseDelimited && !isEndOfConnectionProven()) return failAttempt(AttemptEnd.BROKEN)
         answer = null
         attempt = null
         val isReusable = !reader.isCloseDelimited && !isStateUncertain && isRequestWritten && isOpen
@@ -197,6 +198,15 @@
         reader.finish()
     }
 
+    /**
+     * Returns whether the server itself has ended the connection after its last byte.
+     *
+     * The connection also ends by a reset, which a failed write may be the only sign of, and by a close of this entry.
+     * A server that ends it before it has the whole request may have been killed.
+     */
+    private fun isEndOfConnectionProven(): Boolean =
+        decoder.isInputEnded && isRequestWritten && !hasConnectionError
+
     private fun failAttempt(end: AttemptEnd) {
         val current = attempt
         attempt = null
@@ -209,7 +219,13 @@
         attempt?.exchange?.flush()
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) {
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event === ChannelInputShutdownEvent.INSTANCE) connectionEnded()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) = connectionEnded()
+
+    private fun connectionEnded() {
         dataPlane.serverConnections.removeClosed(this)
         failAttempt(AttemptEnd.BROKEN)
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -31,6 +31,8 @@
             .group(dataPlane.loop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            // Reports that the server has ended the connection apart from any other close of it.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 
     /**
      * Sends the [request] for [attempt] on an idle connection or a new one, unless it is no longer wanted by then.
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -36,6 +36,7 @@
     private vararg val servers: ScriptedServer,
     private val otherServer: ScriptedServer? = null,
     private val timeLimit: Duration = TIME_LIMIT,
+    private val maxBodyBytes: Int = 10_000,
 ) : Closeable {
     private val loopDelay = EventLoopDelay()
     private val group = TrafficLoop.group(loopDelay)
@@ -105,7 +106,7 @@
                 ),
                 services = persistentMapOf(service to ForwardService(service, maxConnections = 100)),
                 workspacesByKey = persistentMapOf("key-1" to WorkspacePolicy(WorkspaceId("workspace"))),
-                limits = CallerLimits(headerBytes = 2_048, bodyBytes = 10_000, headerTimeout = 400.milliseconds),
+                limits = CallerLimits(headerBytes = 2_048, bodyBytes = maxBodyBytes, headerTimeout = 400.milliseconds),
             )
         return FleetSnapshot(
             configuration,
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/ScriptedServer.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/ScriptedServer.kt
@@ -3,14 +3,30 @@
 import java.io.Closeable
 import java.io.IOException
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
-/** Plays a backend server on loopback that answers each request with the bytes that [script] writes. */
-class ScriptedServer(private val script: (request: String, connection: Socket) -> Unit) : Closeable {
-    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+/**
+ * Plays a backend server on loopback that answers each request with the bytes that [script] writes.
+ *
+ * @param receiveBufferBytes size of the receive buffers of connections, null for the system's default
+ * @param readRequest reads what [script] needs of a request, or null where the connection ended
+ */
+class ScriptedServer(
+    receiveBufferBytes: Int?,
+    private val readRequest: (connection: Socket) -> String?,
+    private val script: (request: String, connection: Socket) -> Unit,
+) : Closeable {
+    constructor(script: (request: String, connection: Socket) -> Unit) : this(null, ::readRequest, script)
+
+    private val listener =
+        ServerSocket().apply {
+            receiveBufferBytes?.let { receiveBufferSize = it }
+            bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
+        }
     val port: Int get() = listener.localPort
     val requests = CopyOnWriteArrayList<String>()
     val endedConnections = CopyOnWriteArrayList<Int>()
@@ -55,18 +71,24 @@
     companion object {
         /** Reads one request with its body; returns null where the connection ended. */
         fun readRequest(connection: Socket): String? {
+            val head = readHead(connection) ?: return null
+            val length =
+                head.lines().firstOrNull {
+                    it.startsWith("content-length:", true)
+                }?.substringAfter(':')?.trim()?.toInt()
+            val body = connection.getInputStream().readNBytes(length ?: 0)
+            return head + String(body)
+        }
+
+        /** Reads the head of one request, not its body; returns null where the connection ended. */
+        fun readHead(connection: Socket): String? {
             val head = StringBuilder()
             while (!head.endsWith("\r\n\r\n")) {
                 val byte = connection.getInputStream().read()
                 if (byte < 0) return null
                 head.append(byte.toChar())
             }
-            val length =
-                head.lines().firstOrNull {
-                    it.startsWith("content-length:", true)
-                }?.substringAfter(':')?.trim()?.toInt()
-            val body = connection.getInputStream().readNBytes(length ?: 0)
-            return head.toString() + String(body)
+            return head.toString()
         }
 
         fun Socket.send(text: String) {
