Take no answer without a name for that to the current request of a kept connection

Seen: with servers that answer twice, the second time late and in part without the request's id, callers got failures that belonged to other requests (MIXED), were told "not run" of requests that ran (REFUSED), and such requests ran at a second server (TWICE).

Cause: an answer was skipped only where it names another request. One that names none counted for the current request, unless it was a success.

Change: an answer that names no request, on a connection that has carried another one, ends the attempt with an unknown outcome and closes the connection. On a new connection it counts as before, since it can be for no other request.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -36,6 +36,10 @@
     /** Answers and bytes that belong to no request, since the current one was sent. */
     private var skippedAnswers = 0
     private var skippedBytes = 0L
+    private var hasCarriedRequest = false
+
+    /** Whether this connection carried another request before the current one. */
+    private var hasCarriedOther = false
     private var isRequestWritten = true
     private var isStateUncertain = false
     private var hasConnectionError = false
@@ -57,6 +61,8 @@
     }
 
     fun send(attempt: ServerAttempt, request: FullHttpRequest) {
+        hasCarriedOther = hasCarriedRequest
+        hasCarriedRequest = true
         this.attempt = attempt
         attempt.connection = this
         isRequestWritten = false
@@ -119,6 +125,7 @@
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
         if (!head.isMisplaced && !server.isPeerEntry) recordNotices(head)
         if (isForAnotherRequest || leavesUncertain(head)) isStateUncertain = true
+        if (isOfUnknownRequest(head)) return failAttempt(AttemptEnd.INVALID)
         val isSkipped = isForAnotherRequest || head.status < OK
         answer = if (isSkipped) null else AnswerReader(current, response, head)
         if (!isSkipped) return
@@ -134,6 +141,14 @@
     private fun leavesUncertain(head: AnswerHead): Boolean =
         head.closesConnection || head.requestId == null && head.status >= OK && !server.isPeerEntry
 
+    /**
+     * Returns whether the answer with [head] may be a late copy of the answer to a former request of this connection.
+     *
+     * It proves neither that the server has executed the current request nor that it has not.
+     */
+    private fun isOfUnknownRequest(head: AnswerHead): Boolean =
+        hasCarriedOther && head.requestId == null && head.status >= OK && !server.isPeerEntry
+
     /** Records what the server says of the requests that it takes, in an answer to whichever request. */
     private fun recordNotices(head: AnswerHead) {
         recordLimit(head)
