Deliver no whole answer into a stream that has begun

Seen: a stream had begun and broke off, and the server that was to resume it answered with a status below 500.

Cause: ForwardMachine.attemptAnswered delivered such an answer without asking whether the head of a stream had left, and the encoder refused the second head. Besides, any run that ended regularly completed the stream, also one that had started anew and ended before events that were already sent.

Change: a whole answer to a resumption is a failed attempt, and a run that ends before a sent event does not complete the stream; the stream goes on elsewhere or breaks off at once. A failed write of an answer's end closes the caller's connection.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/forward/ForwardMachine.kt
@@ -67,10 +67,14 @@
         endRequest(ServerChoice.Refuse(cause, RETRY_AFTER))
     }
 
-    /** Handles a whole answer to [attempt] with the HTTP [status]; the driver holds the answer. */
+    /**
+     * Handles a whole answer to [attempt] with the HTTP [status]; the driver holds the answer.
+     *
+     * No whole answer can follow a stream whose head was sent: the attempt to resume the stream has then failed.
+     */
     public fun attemptAnswered(attempt: Int, status: Int, now: MonotonicTime) {
         if (isEnded || attempt != this.attempt) return
-        if (status < SERVER_ERROR_STATUS) {
+        if (status < SERVER_ERROR_STATUS && !isStreaming) {
             isEnded = true
             return actions.deliver(attempt)
         }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/forward/ForwardMachineTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/forward/ForwardMachineTest.kt
@@ -88,6 +88,19 @@
         assertEquals(expected, fixture.actions)
     }
 
+    /** Guards against an error that is written into a stream after its head was sent. */
+    @Test
+    fun `an error that answers the resumption of a stream is not delivered`() {
+        val fixture = ForwardFixture(isStream = true, maxExecutions = 3).start()
+        fixture.machine.streamStarted(1)
+        fixture.machine.eventForwarded("7")
+        fixture.attemptEnded(AttemptEnd.BROKEN)
+        fixture.machine.attemptAnswered(2, 404, fixture.now)
+        fixture.machine.attemptAnswered(3, 404, fixture.now)
+        val resumptions = listOf("dispatch 2 to b after 7", "dispatch 3 to c after 7")
+        assertEquals(listOf("dispatch 1 to a", "deliver 1") + resumptions + "fail OUTCOME_UNKNOWN", fixture.actions)
+    }
+
     @Test
     fun `a broken stream that may not be executed again fails`() {
         val fixture = ForwardFixture(isStream = true, mayRepeat = false).start()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -231,6 +231,7 @@
             written.addListener { if (isClosing) (channel as SocketChannel).shutdownOutput() else channel.close() }
             return
         }
+        written.addListener { if (!it.isSuccess) channel.close() }
         admitNext()
     }
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -144,6 +144,7 @@
         // Comments, which only keep a connection open, have no identity; they are no progress of a stream that has any.
         if (event.id != null || lastEventNumber == Long.MIN_VALUE) machine.progress.eventReceived(dataPlane.now())
         val number = event.id?.toLongOrNull()
+        attempt.lastEventNumber = number ?: attempt.lastEventNumber
         if (number != null && number <= lastEventNumber) return event.release()
         if (number != null) lastEventNumber = number
         caller.writeStreamBytes(event.bytes)
@@ -151,8 +152,13 @@
         if (!caller.isWritable) attempt.connection?.setReading(false)
     }
 
-    /** Handles the complete end of the stream that answers [attempt]. */
+    /**
+     * Handles the complete end of the stream that answers [attempt].
+     *
+     * A run that ends before an event that was already sent is not the rest of the stream that the caller has begun.
+     */
     fun streamCompleted(attempt: ServerAttempt, response: HttpResponse) {
+        if (attempt.lastEventNumber.let { it != null && it < lastEventNumber }) return attempt.end(AttemptEnd.INVALID)
         if (!attempt.markOver()) return
         val now = dataPlane.now()
         attempt.trial.answered(attempt, isFailure = false, now)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAttempt.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerAttempt.kt
@@ -20,6 +20,9 @@
     /** Time at which the first whole event of a stream arrived, null before. */
     var firstEventAt: MonotonicTime? = null
 
+    /** Number of the last event that the attempt has brought, null where it has brought none with a number. */
+    var lastEventNumber: Long? = null
+
     /** The execution of a request under which servers have ended before, null for any other request. */
     var execution: Execution? = null
     var isOver = false
