Write no body after the head of an answer to HEAD

Cause: the entry wrote the bodies of its own answers whatever the method. Besides, a server's answer to HEAD on a route of streams was passed on as a stream, whose last chunk is a body.

Change: no body follows an answer to HEAD, which keeps the length that the server has named; on a route of streams it is no stream.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
@@ -16,7 +16,8 @@
 ) {
     private val exchange = attempt.exchange
     private val isUsable = head.canBePassedOn(exchange.request.id)
-    private val isStream = isUsable && head.isSuccess && exchange.request.route.isStream
+    private val isStream =
+        isUsable && head.isSuccess && exchange.request.route.isStream && exchange.method != HttpMethod.HEAD
     private val splitter = if (isStream) EventSplitter() else null
     private val body: ByteBuf = Unpooled.buffer(0)
     private var heldBytes = 0
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -53,6 +54,9 @@
     private var exchange: Exchange? = null
     private var isAnswering = false
     private var isKeptOpen = true
+
+    /** Whether the current request is a HEAD request, whose answer has headers but no body. */
+    private var isAnsweringHead = false
     private var lastActiveAt = dataPlane.now()
     private var acceptedInTurn = dataPlane.loopDelay.turn
     private val acceptedSince = dataPlane.acceptedSince
@@ -110,6 +114,7 @@
         val received = waitingRequests.removeFirstOrNull() ?: return
         isAnswering = true
         isKeptOpen = HttpUtil.isKeepAlive(received.head)
+        isAnsweringHead = received.head.method() == HttpMethod.HEAD
         pending = received
         dataPlane.admissions.add(PendingRequest(received, this))
     }
@@ -152,16 +157,18 @@
         }
         isAnswering = true
         isKeptOpen = false
+        isAnsweringHead = false
         writeAnswer(status, DefaultHttpHeaders(), errorBody(code))
     }
 
-    /** Writes [status], [headers] and [body] as the whole answer to the current request. */
+    /** Writes [status], [headers] and [body] as the whole answer to the current request; no body follows HEAD. */
     fun writeAnswer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
-        val response =
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, DefaultHttpHeaders())
-        if (status != HttpResponseStatus.NO_CONTENT && status != HttpResponseStatus.NOT_MODIFIED) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        if (!isAnsweringHead && status != HttpResponseStatus.NO_CONTENT && status != HttpResponseStatus.NOT_MODIFIED) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
+        if (isAnsweringHead) body.release()
+        val sent = if (isAnsweringHead) Unpooled.EMPTY_BUFFER else body
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, sent, headers, DefaultHttpHeaders())
         markClosing(response.headers())
         writeLast(response)
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
@@ -200,10 +201,17 @@
         val buffered = checkNotNull(answer) { "no answer is buffered for attempt $attempt" }
         val isUnprovenRejection = buffered.status.code() in REJECTION_STATUSES
         if (isUnprovenRejection) return fail(FailureCause.OUTCOME_UNKNOWN)
-        caller.writeAnswer(buffered.status, endToEndHeaders(buffered.headers), buffered.body)
+        val headers = endToEndHeaders(buffered.headers)
+        if (method == HttpMethod.HEAD) copyLength(buffered.headers, headers)
+        caller.writeAnswer(buffered.status, headers, buffered.body)
         finish("answered-${buffered.status.code()}")
     }
 
+    /** Keeps the length that the server names for the body that an answer to HEAD leaves out. */
+    private fun copyLength(source: HttpHeaders, target: HttpHeaders) {
+        source.get(HttpHeaderNames.CONTENT_LENGTH)?.let { target.set(HttpHeaderNames.CONTENT_LENGTH, it) }
+    }
+
     private fun deliverStreamHead() {
         val response = checkNotNull(streamHead) { "no stream head was received" }
         val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), endToEndHeaders(response.headers()))
