--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RestartingTasks.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RestartingTasks.kt
@@ -17,7 +17,11 @@
         while (!log.runGuarded(LogEvent.CONTROL_TASK_FAILED, name) { block() }) delay(RESTART_DELAY)
     }
 
-/** Runs [action]; writes [event] about [task] and returns false where it fails with an unexpected exception. */
+/**
+ * Runs [action]; writes [event] about [task] and returns false where it fails with an unexpected exception.
+ *
+ * An overflow of the stack counts as one, as its cause is the value that [action] works on, not the process.
+ */
 internal inline fun DecisionLog.runGuarded(event: LogEvent, task: String, action: () -> Unit): Boolean =
     try {
         action()
@@ -25,9 +29,16 @@
     } catch (cancellation: CancellationException) {
         throw cancellation
     } catch (@Suppress("TooGenericExceptionCaught") failure: Exception) {
-        write(event) {
-            field("task", task)
-            field("detail", failure)
-        }
+        writeFailure(event, task, failure)
         false
+    } catch (failure: StackOverflowError) {
+        writeFailure(event, task, failure)
+        false
+    }
+
+internal fun DecisionLog.writeFailure(event: LogEvent, task: String, failure: Throwable) {
+    write(event) {
+        field("task", task)
+        field("detail", failure)
     }
+}
