Read a server's connection again before it returns to the pool

Cause: an exchange stops reading from the server while its caller takes nothing. Where the last read held the end of the stream, the connection returned to the pool with reading switched off, and no later request switched it on.

Change: reading is switched on before the connection returns to the pool.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -209,10 +209,16 @@
         answer = null
         attempt = null
         val isReusable = !reader.isCloseDelimited && !isStateUncertain && isRequestWritten && isOpen
-        if (isReusable) dataPlane.serverConnections.returnToPool(this) else close()
+        if (isReusable) makeAvailable() else close()
         reader.finish()
     }
 
+    /** Returns this connection to the pool, where it is read again even if the caller of the last stream was slow. */
+    private fun makeAvailable() {
+        setReading(true)
+        dataPlane.serverConnections.returnToPool(this)
+    }
+
     /**
      * Returns whether the server itself has ended the connection after its last byte.
      *
