Count an answer as open until its last byte is written

Cause: an answer counted as given when it was handed to the connection, so that the connection was closed 500 ms later, and the process could end while bytes waited.

Change: a connection has an open request until the answer's last byte is written, and no early close of a stop applies before.

The new test of StopUnderLoadTest failed before and passes now.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -64,9 +64,14 @@
     /** Whether no more requests are read, since the last answer has announced the end of the connection. */
     private var isClosing = false
 
-    /** Whether the caller has sent a request, or a part of one, that is not yet answered. */
-    val hasOpenRequest: Boolean
-        get() = !isClosing && (isAnswering || waitingRequests.isNotEmpty() || assembler.hasPartialRequest)
+    /** Answers that are whole, but of which the caller has not yet taken all bytes. */
+    private var unwrittenAnswers = 0
+
+    /** Whether the caller has sent a request, or a part of one, whose answer is not yet written to its end. */
+    val hasOpenRequest: Boolean get() = unwrittenAnswers > 0 || !isClosing && hasUnansweredRequest
+
+    private val hasUnansweredRequest: Boolean
+        get() = isAnswering || waitingRequests.isNotEmpty() || assembler.hasPartialRequest
 
     /** Whether the caller is still there, as far as is known. */
     val isConnected: Boolean get() = channel.isActive
@@ -231,7 +236,9 @@
         exchange = null
         isAnswering = false
         lastActiveAt = dataPlane.now()
+        unwrittenAnswers += 1
         val written = channel.writeAndFlush(message)
+        written.addListener { answerWritten() }
         if (!isKeptOpen) {
             isClosing = dataPlane.stoppingSince != null
             // A close while bytes of the caller are unread is a reset, which may destroy the answer on its way.
@@ -242,6 +249,11 @@
         admitNext()
     }
 
+    private fun answerWritten() {
+        unwrittenAnswers -= 1
+        lastActiveAt = dataPlane.now()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         dataPlane.callerConnections -= this
         exchange?.callerLeft()
@@ -263,7 +275,7 @@
 
     /** Closes the connection where the caller sends a request too slowly or has been idle for too long. */
     fun enforceTimeouts(now: MonotonicTime) {
-        if (isClosing && now - lastActiveAt > CLOSING_TIMEOUT) channel.close()
+        if (isClosing && unwrittenAnswers == 0 && now - lastActiveAt > CLOSING_TIMEOUT) channel.close()
         if (isAnswering || waitingRequests.isNotEmpty()) return
         val partialHeadSince = decoder.partialHeadSince
         if (partialHeadSince != null && now - partialHeadSince > limits.headerTimeout) {
@@ -275,9 +287,8 @@
             return
         }
         val idleTimeout = if (isOfPeer) PEER_IDLE_TIMEOUT else limits.idleTimeout
-        if (idle > idleTimeout || dataPlane.rejectsNewRequests(now) && idle > STOPPING_IDLE_TIMEOUT) {
-            channel.close()
-        }
+        val mayCloseEarly = dataPlane.rejectsNewRequests(now) && unwrittenAnswers == 0
+        if (idle > idleTimeout || mayCloseEarly && idle > STOPPING_IDLE_TIMEOUT) channel.close()
     }
 
     private companion object {
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/StopUnderLoadTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/StopUnderLoadTest.kt
@@ -35,6 +35,26 @@
             assertEquals(1, "connection: close".toRegex().findAll(answers).count(), answers)
         }
 
+    /** Guards against an answer that is cut while a caller on a slow link still reads it, long before the grace period ends. */
+    @Test
+    fun `a stop waits for an answer that is still being written`() {
+        val whole = "w".repeat(8_000_000)
+        ScriptedServer { request, connection -> connection.send(answer(request, whole)) }.use { server ->
+            GatewayFixture(server).use { fixture ->
+                fixture.connect().use { caller ->
+                    caller.send(kept("r1"))
+                    Thread.sleep(300)
+                    fixture.onLoop { fixture.dataPlane.stop() }
+                    Thread.sleep(1_500)
+                    fixture.onLoop { assertTrue(fixture.dataPlane.hasOpenRequests) }
+                    ScriptedServer.readHead(caller)
+                    assertEquals(whole.length, caller.getInputStream().readNBytes(whole.length).size)
+                    fixture.onLoop { assertFalse(fixture.dataPlane.hasOpenRequests) }
+                }
+            }
+        }
+    }
+
     /** Guards against an exit while a request has been read but not yet admitted, or not read to its end. */
     @Test
     fun `a stop waits for requests that are not yet forwarded`() =
