Bound the bodies of all callers' requests together

Cause: each body was bounded, all together were not, and they lay in direct memory, of which there is as much as heap. Buffers were kept as they had been read, partly filled.

Change: the bodies of all requests may take a quarter of the heap, large ones three quarters of that. A body whose length is named takes its memory with the head; what finds no room is rejected at once with 503 and a time to come back. Bodies are copied into memory of their own size.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -50,6 +50,7 @@
     private val admission = ForwardAdmission(dataPlane, isOfPeer)
     private val waitingRequests = ArrayDeque<ReceivedRequest>()
     private val assembler = RequestAssembler(limits.bodyBytes)
+    private val heldBodies = HeldBodies(dataPlane.requestMemory, limits.bodyBytes)
     private var pending: ReceivedRequest? = null
     private var exchange: Exchange? = null
     private var isAnswering = false
@@ -68,10 +69,10 @@
     private var unwrittenAnswers = 0
 
     /** Whether the caller has sent a request, or a part of one, whose answer is not yet written to its end. */
-    val hasOpenRequest: Boolean get() = unwrittenAnswers > 0 || !isClosing && hasUnansweredRequest
+    val hasOpenRequest: Boolean
+        get() = isAnswering || unwrittenAnswers > 0 || !isClosing && hasUnadmittedRequest
 
-    private val hasUnansweredRequest: Boolean
-        get() = isAnswering || waitingRequests.isNotEmpty() || assembler.hasPartialRequest
+    private val hasUnadmittedRequest: Boolean get() = waitingRequests.isNotEmpty() || assembler.hasPartialRequest
 
     /** Whether the caller is still there, as far as is known. */
     val isConnected: Boolean get() = channel.isActive
@@ -93,9 +94,11 @@
         if (isClosing) return
         lastActiveAt = dataPlane.now()
         dataPlane.loopDelay.awoke(lastActiveAt)
+        if (!heldBodies.add(message)) return rejectForMemory()
         when (val outcome = assembler.add(message)) {
             is RequestAssembler.Outcome.Rejected -> rejectAndClose(outcome.status, outcome.code)
             is RequestAssembler.Outcome.Whole -> {
+                heldBodies.requestWhole()
                 val arrivedAt = earliestArrival(lastActiveAt)
                 waitingRequests.addLast(ReceivedRequest(outcome.head, outcome.body, lastActiveAt, arrivedAt))
                 admitNext()
@@ -150,11 +153,9 @@
 
     /** Rejects a request that can't be parsed, and closes the connection once earlier answers are written. */
     private fun rejectAndClose(status: HttpResponseStatus, code: String) {
-        dataPlane.log.write(LogEvent.CALLER_REJECTED) {
-            field("status", status.code())
-            field("reason", code)
-        }
+        writeRejected(status.code(), code)
         assembler.release()
+        heldBodies.dropPartial()
         channel.config().isAutoRead = false
         if (isAnswering) {
             isKeptOpen = false
@@ -166,6 +167,27 @@
         writeAnswer(status, DefaultHttpHeaders(), errorBody(code))
     }
 
+    private fun writeRejected(status: Int, reason: String) {
+        dataPlane.log.write(LogEvent.CALLER_REJECTED) {
+            field("status", status)
+            field("reason", reason)
+        }
+    }
+
+    /** Rejects the request that is being received, for whose body there is no memory, and reads the rest in vain. */
+    private fun rejectForMemory() {
+        writeRejected(RefusalCause.ENTRY_OVERLOADED.status, "no-memory")
+        assembler.release()
+        heldBodies.dropPartial()
+        isClosing = true
+        isKeptOpen = false
+        if (isAnswering) return
+        isAnswering = true
+        isAnsweringHead = false
+        val retryAfter = MEMORY_RETRY_AFTER * dataPlane.random.nextDouble(MIN_RETRY_SPREAD, MAX_RETRY_SPREAD)
+        writeRejection(RefusalCause.ENTRY_OVERLOADED.status, RefusalCause.ENTRY_OVERLOADED.code, retryAfter)
+    }
+
     /** Writes [status], [headers] and [body] as the whole answer to the current request; no body follows HEAD. */
     fun writeAnswer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         if (!isAnsweringHead && status != HttpResponseStatus.NO_CONTENT && status != HttpResponseStatus.NOT_MODIFIED) {
@@ -235,12 +257,13 @@
     private fun writeLast(message: Any) {
         exchange = null
         isAnswering = false
+        heldBodies.requestAnswered()
         lastActiveAt = dataPlane.now()
         unwrittenAnswers += 1
         val written = channel.writeAndFlush(message)
         written.addListener { answerWritten() }
         if (!isKeptOpen) {
-            isClosing = dataPlane.stoppingSince != null
+            isClosing = isClosing || dataPlane.stoppingSince != null
             // A close while bytes of the caller are unread is a reset, which may destroy the answer on its way.
             written.addListener { if (isClosing) (channel as SocketChannel).shutdownOutput() else channel.close() }
             return
@@ -259,6 +282,7 @@
         exchange?.callerLeft()
         exchange = null
         assembler.release()
+        heldBodies.dropAll()
         pending?.body?.release()
         pending = null
         waitingRequests.forEach { it.body.release() }
@@ -293,6 +317,9 @@
 
     private companion object {
         val STOPPING_IDLE_TIMEOUT = Duration.ZERO
+        val MEMORY_RETRY_AFTER = 1.seconds
+        const val MIN_RETRY_SPREAD = 0.5
+        const val MAX_RETRY_SPREAD = 1.5
 
         /** Time for the caller to close its side of a connection whose end was announced. */
         val CLOSING_TIMEOUT = 500.milliseconds
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -40,6 +40,7 @@
     val metrics: TrafficMetrics,
     val clock: SuspensionAwareClock = SuspensionAwareClock(),
     val loopDelay: EventLoopDelay = EventLoopDelay(),
+    val requestMemory: RequestMemory = RequestMemory(),
 ) {
     val random: Random = Random.Default
     private val predictions = PredictionTelemetry(metrics, log)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAssembler.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/RequestAssembler.kt
@@ -55,7 +55,8 @@
         if (parts.readableBytes() + content.content().readableBytes() > maxBodyBytes) {
             return Outcome.Rejected(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body-too-large")
         }
-        if (content.content().isReadable) parts.addComponent(true, content.content().retain())
+        // A copy of the size of its content: buffers that a socket is read into are larger.
+        if (content.content().isReadable) parts.addComponent(true, Unpooled.copiedBuffer(content.content()))
         if (content !is LastHttpContent) return Outcome.Incomplete
         head = null
         body = null
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -32,11 +32,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs the data plane of one entry on loopback, in front of the scripted [servers] and one of another service. */
-class GatewayFixture(
+class GatewayFixture internal constructor(
     private vararg val servers: ScriptedServer,
     private val otherServer: ScriptedServer? = null,
     private val timeLimit: Duration = TIME_LIMIT,
     private val maxBodyBytes: Int = 10_000,
+    requestMemory: RequestMemory = RequestMemory(),
 ) : Closeable {
     private val loopDelay = EventLoopDelay()
     private val group = TrafficLoop.group(loopDelay)
@@ -52,7 +53,16 @@
 
     private val clock = SuspensionAwareClock(wallMillis = { System.currentTimeMillis() + suspendedMillis })
     internal val dataPlane =
-        DataPlane(settings, TestWire(), group.next(), DecisionLog("test"), TrafficMetrics(), clock, loopDelay)
+        DataPlane(
+            settings,
+            TestWire(),
+            group.next(),
+            DecisionLog("test"),
+            TrafficMetrics(),
+            clock,
+            loopDelay,
+            requestMemory,
+        )
     private val callerListener: Channel
     private val port: Int
     private val peerPort: Int
