--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -1,7 +1,6 @@
 package org.yuccajunction.gateway
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -26,11 +25,9 @@
 import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.model.MonotonicTime
 import java.io.IOException
-import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /**
  * Handles one caller's connection.
@@ -164,7 +161,7 @@
         isAnswering = true
         isKeptOpen = false
         isAnsweringHead = false
-        writeAnswer(status, DefaultHttpHeaders(), errorBody(code))
+        writeAnswer(status, DefaultHttpHeaders(), CallerAnswers.errorBody(code))
     }
 
     private fun writeRejected(status: Int, reason: String) {
@@ -190,28 +187,21 @@
 
     /** Writes [status], [headers] and [body] as the whole answer to the current request; no body follows HEAD. */
     fun writeAnswer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
-        if (!isAnsweringHead && status != HttpResponseStatus.NO_CONTENT && status != HttpResponseStatus.NOT_MODIFIED) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        }
-        if (isAnsweringHead) body.release()
-        val sent = if (isAnsweringHead) Unpooled.EMPTY_BUFFER else body
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, sent, headers, DefaultHttpHeaders())
+        val response = CallerAnswers.whole(status, headers, body, isAnsweringHead)
         markClosing(response.headers())
         writeLast(response)
     }
 
     /** Answers that the request was not executed and may be sent again after [retryAfter]. */
     fun writeRejection(status: Int, code: String, retryAfter: Duration) {
-        val headers = DefaultHttpHeaders()
-        val seconds = String.format(Locale.ROOT, "%.3f", retryAfter.toDouble(DurationUnit.SECONDS))
-        headers.set(HttpHeaderNames.RETRY_AFTER, seconds)
+        val headers = CallerAnswers.rejectionHeaders(retryAfter)
         if (isOfPeer) RelayRefusal.write(headers, code, retryAfter)
-        writeAnswer(HttpResponseStatus.valueOf(status), headers, errorBody(code))
+        writeAnswer(HttpResponseStatus.valueOf(status), headers, CallerAnswers.errorBody(code))
     }
 
     /** Answers with an error; for a request of whose answer no byte was written yet. */
     fun writeFailure(status: Int, code: String) {
-        writeAnswer(HttpResponseStatus.valueOf(status), DefaultHttpHeaders(), errorBody(code))
+        writeAnswer(HttpResponseStatus.valueOf(status), DefaultHttpHeaders(), CallerAnswers.errorBody(code))
     }
 
     /** Writes [head] as the status line and headers of a streamed answer. */
@@ -328,5 +318,3 @@
         val PEER_IDLE_TIMEOUT = 30.seconds
     }
 }
-
-private fun errorBody(code: String): ByteBuf = Unpooled.copiedBuffer("{\"error\":\"$code\"}", Charsets.UTF_8)
