--- /dev/null
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/EntryRegistrations.kt
@@ -0,0 +1,89 @@
+package org.yuccajunction.gateway
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccajunction.control.LogEvent
+import org.yuccajunction.model.Endpoint
+import org.yuccajunction.port.ExpectedVersion
+import org.yuccajunction.port.ObjectListing
+import org.yuccajunction.port.ObjectReading
+import org.yuccajunction.port.ObjectStore
+import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.port.StoreEra
+import org.yuccajunction.port.StoredObject
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The registrations in the store by which entries find each other.
+ *
+ * Confined to the control thread.
+ *
+ * @property name instance name of this entry
+ * @property peerEndpoint address for datagrams of peers
+ * @property onRegistration receives the name and the address of each registered entry
+ */
+internal class EntryRegistrations(
+    private val store: ObjectStore,
+    private val log: DecisionLog,
+    private val name: String,
+    private val peerEndpoint: Endpoint,
+    private val onRegistration: (name: String, address: String) -> Unit,
+) {
+    /**
+     * Registers this entry in the store, then lists the registrations of all entries again and again.
+     *
+     * The write comes first, so that of two entries that start together at least one finds the other. After a restore
+     * of the store, which may have undone the registration, this entry registers again.
+     */
+    suspend fun follow() {
+        while (true) {
+            val writing = writeRegistration()
+            if (writing is ObjectWriting.Written) listRegistrationsOf(store.era) else retryLater("write", writing)
+        }
+    }
+
+    private suspend fun listRegistrationsOf(era: StoreEra?) {
+        while (store.era == era) {
+            when (val listing = store.list(KIND)) {
+                is ObjectListing.Listed -> {
+                    listing.objects.forEach(::report)
+                    withTimeoutOrNull(LIST_INTERVAL) {
+                        while (store.era == era) delay(ERA_CHECK_INTERVAL)
+                    }
+                }
+                else -> retryLater("list", listing)
+            }
+        }
+    }
+
+    private fun report(stored: StoredObject) {
+        val address = stored.value?.trim('"') ?: return
+        onRegistration(stored.key.substringAfter('/'), address)
+    }
+
+    private suspend fun retryLater(call: String, outcome: Any) {
+        log.write(LogEvent.REGISTRATION_FAILED) {
+            field("call", call)
+            field("outcome", outcome)
+        }
+        delay(RETRY_DELAY)
+    }
+
+    private suspend fun writeRegistration(): ObjectWriting {
+        val key = "$KIND/$name"
+        val value = "\"$peerEndpoint\""
+        val writing = store.write(key, value, ExpectedVersion.Absent)
+        if (writing is ObjectWriting.Written) return writing
+        val stored = (store.read(key) as? ObjectReading.Found)?.stored ?: return writing
+        if (stored.value == value) return ObjectWriting.Written(stored.version)
+        return store.write(key, value, ExpectedVersion.Is(stored.version))
+    }
+
+    private companion object {
+        const val KIND = "entry-registrations"
+        val RETRY_DELAY = 500.milliseconds
+        val LIST_INTERVAL = 20.seconds
+        val ERA_CHECK_INTERVAL = 1.seconds
+    }
+}
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
@@ -28,24 +27,17 @@
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
-import org.yuccajunction.port.ExpectedVersion
-import org.yuccajunction.port.ObjectListing
-import org.yuccajunction.port.ObjectReading
 import org.yuccajunction.port.ObjectStore
-import org.yuccajunction.port.ObjectWriting
-import org.yuccajunction.port.StoreEra
-import org.yuccajunction.port.StoredObject
 import org.yuccajunction.quota.UsageTotals
 import org.yuccajunction.rollout.MoveReport
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Exchanges heartbeats and membership updates with peers by datagrams.
  *
- * Entries find each other by registrations in the store. The datagrams also carry [Confirmations]' questions and
+ * Entries find each other by their [EntryRegistrations]. The datagrams also carry [Confirmations]' questions and
  * answers. Confined to the control thread.
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -88,58 +80,11 @@
                 .bind(settings.peerEndpoint.host, settings.peerEndpoint.port)
                 .syncUninterruptibly()
                 .channel()
-        scope.launchRestarting(log, "registration") { register() }
-        scope.launchRestarting(log, "heartbeats") { sendHeartbeatsRepeatedly() }
-    }
-
-    /**
-     * Registers this entry in the store, then lists the registrations of all entries again and again.
-     *
-     * The write comes first, so that of two entries that start together at least one finds the other. After a restore
-     * of the store, which may have undone the registration, this entry registers again.
-     */
-    private suspend fun register() {
-        while (true) {
-            val writing = writeRegistration()
-            if (writing is ObjectWriting.Written) listRegistrationsOf(store.era) else retryLater("write", writing)
-        }
-    }
-
-    private suspend fun listRegistrationsOf(era: StoreEra?) {
-        while (store.era == era) {
-            when (val listing = store.list(REGISTRATION_KIND)) {
-                is ObjectListing.Listed -> {
-                    listing.objects.forEach(::addRegistration)
-                    withTimeoutOrNull(REGISTRATION_LIST_INTERVAL) {
-                        while (store.era == era) delay(REGISTRATION_CHECK_INTERVAL)
-                    }
-                }
-                else -> retryLater("list", listing)
-            }
-        }
-    }
-
-    private fun addRegistration(stored: StoredObject) {
-        val address = stored.value?.trim('"') ?: return
-        table.addRegistration(stored.key.substringAfter('/'), address, dataPlane.now())
-    }
-
-    private suspend fun retryLater(call: String, outcome: Any) {
-        log.write(LogEvent.REGISTRATION_FAILED) {
-            field("call", call)
-            field("outcome", outcome)
+        val registrations = EntryRegistrations(store, log, settings.name, settings.peerEndpoint) { name, address ->
+            table.addRegistration(name, address, dataPlane.now())
         }
-        delay(REGISTRATION_RETRY_DELAY)
-    }
-
-    private suspend fun writeRegistration(): ObjectWriting {
-        val key = "$REGISTRATION_KIND/${settings.name}"
-        val value = "\"${settings.peerEndpoint}\""
-        val writing = store.write(key, value, ExpectedVersion.Absent)
-        if (writing is ObjectWriting.Written) return writing
-        val stored = (store.read(key) as? ObjectReading.Found)?.stored ?: return writing
-        if (stored.value == value) return ObjectWriting.Written(stored.version)
-        return store.write(key, value, ExpectedVersion.Is(stored.version))
+        scope.launchRestarting(log, "registration") { registrations.follow() }
+        scope.launchRestarting(log, "heartbeats") { sendHeartbeatsRepeatedly() }
     }
 
     /** Returns the demand for servers of [service] at all live entries together. */
@@ -294,12 +239,8 @@
     }
 
     private companion object {
-        const val REGISTRATION_KIND = "entry-registrations"
         const val MIN_JITTER = 0.9
         const val MAX_JITTER = 1.1
-        val REGISTRATION_RETRY_DELAY = 500.milliseconds
-        val REGISTRATION_LIST_INTERVAL = 20.seconds
-        val REGISTRATION_CHECK_INTERVAL = 1.seconds
         val USAGE_SEND_INTERVAL = 800.milliseconds
     }
 }
