--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceRollouts.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceRollouts.kt
@@ -36,8 +36,8 @@
     /**
      * Records an order as the store holds it.
      *
-     * [isNew] says whether the order was seen to come, rather than found when this entry first read the orders. An order
-     * that is written again after a restore of the store keeps the end that its move has reached.
+     * [isNew] says whether the order was seen to come, rather than found when this entry first read the orders. An
+     * order that is written again after a restore of the store keeps the end that its move has reached.
      */
     public fun orderReceived(order: RolloutOrder, servers: List<BackendServer>, isNew: Boolean, now: MonotonicTime) {
         val known = moves[order.key]
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -56,8 +56,7 @@
     /** Whether the current request is a HEAD request, whose answer has headers but no body. */
     private var isAnsweringHead = false
     private var lastActiveAt = dataPlane.now()
-    private var acceptedInTurn = dataPlane.loopDelay.turn
-    private val acceptedSince = dataPlane.acceptedSince
+    private val arrivals = RequestArrivals(dataPlane)
 
     /** Whether no more requests are read, since the last answer has announced the end of the connection. */
     private var isClosing = false
@@ -96,7 +95,7 @@
             is RequestAssembler.Outcome.Rejected -> rejectAndClose(outcome.status, outcome.code)
             is RequestAssembler.Outcome.Whole -> {
                 heldBodies.requestWhole()
-                val arrivedAt = earliestArrival(lastActiveAt)
+                val arrivedAt = arrivals.earliest(lastActiveAt)
                 waitingRequests.addLast(ReceivedRequest(outcome.head, outcome.body, lastActiveAt, arrivedAt))
                 admitNext()
             }
@@ -107,13 +106,6 @@
         }
     }
 
-    /** Returns when a request that is read at [now] may have arrived; the first may have come with the connection. */
-    private fun earliestArrival(now: MonotonicTime): MonotonicTime {
-        val ofTurn = dataPlane.loopDelay.earliestArrival(now)
-        val isFirstRead = dataPlane.loopDelay.turn - acceptedInTurn <= 1
-        return if (isFirstRead && acceptedSince != null) minOf(ofTurn, acceptedSince) else ofTurn
-    }
-
     private fun admitNext() {
         if (isAnswering || !channel.isActive) return
         val received = waitingRequests.removeFirstOrNull() ?: return
@@ -150,7 +142,7 @@
 
     /** Rejects a request that can't be parsed, and closes the connection once earlier answers are written. */
     private fun rejectAndClose(status: HttpResponseStatus, code: String) {
-        writeRejected(status.code(), code)
+        dataPlane.log.writeCallerRejected(status.code(), code)
         assembler.release()
         heldBodies.dropPartial()
         channel.config().isAutoRead = false
@@ -164,16 +156,9 @@
         writeAnswer(status, DefaultHttpHeaders(), CallerAnswers.errorBody(code))
     }
 
-    private fun writeRejected(status: Int, reason: String) {
-        dataPlane.log.write(LogEvent.CALLER_REJECTED) {
-            field("status", status)
-            field("reason", reason)
-        }
-    }
-
     /** Rejects the request that is being received, for whose body there is no memory, and reads the rest in vain. */
     private fun rejectForMemory() {
-        writeRejected(RefusalCause.ENTRY_OVERLOADED.status, "no-memory")
+        dataPlane.log.writeCallerRejected(RefusalCause.ENTRY_OVERLOADED.status, "no-memory")
         assembler.release()
         heldBodies.dropPartial()
         isClosing = true
@@ -251,7 +236,10 @@
         lastActiveAt = dataPlane.now()
         unwrittenAnswers += 1
         val written = channel.writeAndFlush(message)
-        written.addListener { answerWritten() }
+        written.addListener {
+            unwrittenAnswers -= 1
+            lastActiveAt = dataPlane.now()
+        }
         if (!isKeptOpen) {
             isClosing = isClosing || dataPlane.stoppingSince != null
             // A close while bytes of the caller are unread is a reset, which may destroy the answer on its way.
@@ -262,11 +250,6 @@
         admitNext()
     }
 
-    private fun answerWritten() {
-        unwrittenAnswers -= 1
-        lastActiveAt = dataPlane.now()
-    }
-
     override fun channelInactive(context: ChannelHandlerContext) {
         dataPlane.callerConnections -= this
         exchange?.callerLeft()
@@ -291,8 +274,7 @@
     fun enforceTimeouts(now: MonotonicTime) {
         if (isClosing && unwrittenAnswers == 0 && now - lastActiveAt > CLOSING_TIMEOUT) channel.close()
         if (isAnswering || waitingRequests.isNotEmpty()) return
-        val partialHeadSince = decoder.partialHeadSince
-        if (partialHeadSince != null && now - partialHeadSince > limits.headerTimeout) {
+        if (decoder.isHeadLate(now, limits.headerTimeout)) {
             return rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "too-slow")
         }
         val idle = now - lastActiveAt
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Exchange.kt
@@ -201,25 +201,24 @@
         val buffered = checkNotNull(answer) { "no answer is buffered for attempt $attempt" }
         val isUnprovenRejection = buffered.status.code() in REJECTION_STATUSES
         if (isUnprovenRejection) return fail(FailureCause.OUTCOME_UNKNOWN)
-        val headers = endToEndHeaders(buffered.headers)
-        if (method == HttpMethod.HEAD) copyLength(buffered.headers, headers)
-        caller.writeAnswer(buffered.status, headers, buffered.body)
+        caller.writeAnswer(buffered.status, endToEndHeaders(buffered.headers), buffered.body)
         finish("answered-${buffered.status.code()}")
     }
 
-    /** Keeps the length that the server names for the body that an answer to HEAD leaves out. */
-    private fun copyLength(source: HttpHeaders, target: HttpHeaders) {
-        source.get(HttpHeaderNames.CONTENT_LENGTH)?.let { target.set(HttpHeaderNames.CONTENT_LENGTH, it) }
-    }
-
     private fun deliverStreamHead() {
         val response = checkNotNull(streamHead) { "no stream head was received" }
         val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), endToEndHeaders(response.headers()))
         caller.writeStreamHead(head)
     }
 
-    private fun endToEndHeaders(headers: HttpHeaders): HttpHeaders =
-        DefaultHttpHeaders().also { HopByHopHeaders.copyEndToEnd(headers, it) }
+    /** Returns what callers get of a server's [headers]; for HEAD with the length of the body that is left out. */
+    private fun endToEndHeaders(headers: HttpHeaders): HttpHeaders {
+        val target = DefaultHttpHeaders()
+        HopByHopHeaders.copyEndToEnd(headers, target)
+        val length = headers.get(HttpHeaderNames.CONTENT_LENGTH).takeIf { method == HttpMethod.HEAD }
+        if (length != null) target.set(HttpHeaderNames.CONTENT_LENGTH, length)
+        return target
+    }
 
     override fun refuse(cause: RefusalCause, retryAfter: Duration) {
         charge?.refund(dataPlane)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -16,7 +16,6 @@
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.model.MonotonicTime
 import java.io.IOException
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Handles one connection to a backend server, which carries at most one attempt at a time. */
@@ -26,6 +25,7 @@
     private val decoder: ServerAnswerDecoder,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
+    private val notices = AnswerNotices(dataPlane, server)
     private var attempt: ServerAttempt? = null
     private var answer: AnswerReader? = null
         set(value) {
@@ -123,7 +123,7 @@
         head.load?.let { dataPlane.loadBalancer.recordLoadReport(server.id, it, dataPlane.now()) }
         head.keepAliveSeconds?.let { serverKeepAlive = it.seconds }
         val isForAnotherRequest = head.requestId != null && head.requestId != current.exchange.request.id
-        if (!head.isMisplaced && !server.isPeerEntry) recordNotices(head)
+        if (!head.isMisplaced && !server.isPeerEntry) notices.record(head)
         if (isForAnotherRequest || leavesUncertain(head)) isStateUncertain = true
         if (isOfUnknownRequest(head)) return failAttempt(AttemptEnd.INVALID)
         val isSkipped = isForAnotherRequest || head.status < OK
@@ -149,44 +149,6 @@
     private fun isOfUnknownRequest(head: AnswerHead): Boolean =
         hasCarriedOther && head.requestId == null && head.status >= OK && !server.isPeerEntry
 
-    /** Records what the server says of the requests that it takes, in an answer to whichever request. */
-    private fun recordNotices(head: AnswerHead) {
-        recordLimit(head)
-        head.rejectionsPerSecond?.let(::recordBrittleness)
-        head.pause?.let(::recordPause)
-        if (head.isLeaving && dataPlane.loadBalancer.notices.recordLeaving(server)) {
-            dataPlane.log.write(LogEvent.SERVER_LEAVING) { field("server", server.id) }
-        }
-    }
-
-    private fun recordPause(pause: Duration) {
-        dataPlane.loadBalancer.notices.recordPause(server, pause, dataPlane.now())
-        dataPlane.log.write(LogEvent.SERVER_PAUSED) {
-            field("server", server.id)
-            field("millis", pause.inWholeMilliseconds)
-        }
-    }
-
-    private fun recordBrittleness(rejectionsPerSecond: Double) {
-        val service = server.service
-        if (!dataPlane.loadBalancer.brittleServers.record(service, rejectionsPerSecond, dataPlane.now())) return
-        dataPlane.reportUrgently()
-        dataPlane.log.write(LogEvent.SERVICE_BRITTLE) {
-            field("service", service)
-            field("server", server.id)
-            field("rejectionsPerSecond", rejectionsPerSecond)
-        }
-    }
-
-    private fun recordLimit(head: AnswerHead) {
-        if (!dataPlane.loadBalancer.recordRequestLimit(server.id, head.requestsPerSecond, dataPlane.now())) return
-        dataPlane.log.write(LogEvent.SERVER_LIMIT_CHANGED) {
-            field("server", server.id)
-            field("service", server.service)
-            field("requestsPerSecond", head.requestsPerSecond ?: "none")
-        }
-    }
-
     private fun addContent(content: HttpContent) {
         val reader = answer ?: return skip(content)
         if (!reader.add(content.content())) return failAttempt(AttemptEnd.INVALID)
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CutHeadTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CutHeadTest.kt
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
 
-/** Guards against a server that ends in the middle of its answer's head, and a caller that gets a whole, short answer. */
+/** Guards against a caller that gets a whole, short answer of a server that ended in the middle of the head. */
 @Timeout(120, unit = TimeUnit.SECONDS)
 class CutHeadTest {
     private val heads =
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/SlowStreamReaderTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/SlowStreamReaderTest.kt
@@ -34,7 +34,7 @@
         }
     }
 
-    /** Guards against a connection that goes back to the pool with reading switched off: its next answer is not read. */
+    /** Guards against a connection that returns to the pool with reading switched off. */
     @Test
     fun `a request after a slowly read stream on the same connection gets its answer`() {
         server().use { server ->
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/StopUnderLoadTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/StopUnderLoadTest.kt
@@ -35,7 +35,7 @@
             assertEquals(1, "connection: close".toRegex().findAll(answers).count(), answers)
         }
 
-    /** Guards against an answer that is cut while a caller on a slow link still reads it, long before the grace period ends. */
+    /** Guards against an answer that is cut while a caller on a slow link still reads it. */
     @Test
     fun `a stop waits for an answer that is still being written`() {
         val whole = "w".repeat(8_000_000)
