Receive the datagrams of peers whole

Cause: datagrams were received into the library's default buffer of 2,048 bytes. A longer heartbeat arrived cut off and could not be decoded, so that entries took each other for ended. That it is the only cause of those symptoms is not shown by this commit.

Change: PeerSocket sets a buffer for the longest datagram.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -1,13 +1,11 @@
 package org.yuccajunction.gateway
 
-import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
-import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -72,14 +70,7 @@
     var moveReports: () -> List<MoveReport> = { emptyList() }
 
     fun start(group: EventLoopGroup, scope: CoroutineScope) {
-        channel =
-            Bootstrap()
-                .group(group)
-                .channel(NioDatagramChannel::class.java)
-                .handler(DatagramReceiver())
-                .bind(settings.peerEndpoint.host, settings.peerEndpoint.port)
-                .syncUninterruptibly()
-                .channel()
+        channel = PeerSocket.bind(group, settings.peerEndpoint, DatagramReceiver())
         val registrations = EntryRegistrations(store, log, settings.name, settings.peerEndpoint) { name, address ->
             table.addRegistration(name, address, dataPlane.now())
         }
