--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/quota/QuotaSharingTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/quota/QuotaSharingTest.kt
@@ -111,6 +111,9 @@
     @Test
     fun `9 entries refuse hardly more than one exact count and exceed no quota`() = assertSharesWell(9)
 
+    @Test
+    fun `70 entries refuse hardly more than one exact count and exceed no quota`() = assertSharesWell(70)
+
     @Test
     fun `95 entries refuse hardly more than one exact count and exceed no quota`() = assertSharesWell(95)
 
