--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/CallerConnection.kt
@@ -156,7 +156,7 @@
         writeAnswer(status, DefaultHttpHeaders(), CallerAnswers.errorBody(code))
     }
 
-    /** Rejects the request that is being received, for whose body there is no memory, and reads the rest in vain. */
+    /** Rejects the request that is being received, for whose body there is no memory; the rest is discarded. */
     private fun rejectForMemory() {
         dataPlane.log.writeCallerRejected(RefusalCause.ENTRY_OVERLOADED.status, "no-memory")
         assembler.release()
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/HeldBodies.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/HeldBodies.kt
@@ -8,7 +8,7 @@
 /**
  * The memory that the bodies of one connection's requests hold, in the order of the requests.
  *
- * A body whose length is named takes all of it with the request's head, so that no body is read in vain.
+ * A body whose length is named takes all of it with the request's head: what finds no room is rejected unread.
  */
 internal class HeldBodies(private val memory: RequestMemory, private val maxBodyBytes: Int) {
     private var partialReceived = 0
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerSocket.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerSocket.kt
@@ -11,7 +11,7 @@
 
 /** Opens the socket for datagrams between entries. */
 internal object PeerSocket {
-    /** Longest datagram that can be received; a longer buffer than the default, at which Netty cuts datagrams off. */
+    /** Longest datagram of UDP. By default, Netty cuts off what exceeds 2,048 bytes. */
     private const val MAX_DATAGRAM_BYTES = 65_535
 
     /** Binds to [endpoint], where [receiver] gets each datagram whole. */
