--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -15,7 +16,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 from pathlib import Path
 
@@ -410,8 +410,8 @@
         }))
 
     def start(self):
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        command = deploy["roles"]["entry"]["run"].split()
+        role = (ROOT / "deploy/system.toml").read_text().split("[roles.entry]")[1]
+        command = re.search(r'^run = "(.*)"$', role, re.MULTILINE).group(1).split()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "JAVA_HOME", "LANG") if name in os.environ}
         environment["YUCCAJUNCTION_BOOT"] = str(self.settings)
         self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
