Give the operator two seconds to write again in the case of the restored store

With one second, a slow start of the restarted entry could miss the time in which the copy is in force.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 REVOKE_S = 5.0  # revokeMs
 AWAY_S = 1.5  # for which the store is away in the drill
 RESTART_S = 0.3  # from the end of the entry's process until the platform starts it again
-REWRITE_S = 1.0  # from the return of the store until the operator has written its manifest again
+REWRITE_S = 2.0  # from the return of the store until the operator has written its manifest again, as replicas have
 SERVICE = "order-desk"
 
 
