--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -306,12 +306,14 @@
 class BackendServer:
     """A sound backend server that runs each request that names it, and records the runs."""
 
-    def __init__(self, record, identity, service, work_s=0.005, slots=64):
+    def __init__(self, record, identity, service, work_s=0.005, slots=64, zone="zone-a"):
         self.record = record
         self.identity = identity
         self.service = service
         self.work_s = work_s
         self.slots = slots
+        self.zone = zone
+        self.is_leaving = False
         self.born = int(time.time() * 1000)
         self.runs = []
         self.running = 0
@@ -328,7 +330,9 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     def registration(self, state="ready"):
-        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "zone-a", "version": "v1",
+        """Returns its entry in the store; a server that drains says so in all its answers from then on, too."""
+        self.is_leaving = state == "draining"
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": state, "coldLeftMs": 0, "sequence": 1, "born": self.born}
 
     async def serve(self, reader, writer):
@@ -336,7 +340,10 @@
         try:
             while (message := await read_message(reader)) is not None:
                 body = await read_body(reader, message[1])
-                writer.write(await self.answer(message[0], message[1], body))
+                answer = await self.answer(message[0], message[1], body)
+                if self.is_leaving:
+                    answer = answer.replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
+                writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -384,14 +391,14 @@
         self.record = record
         self.name = name
         front, ready, directory, control, first, _ = free_ports(6)
-        self.front, self.ready = front, ready
+        self.front, self.ready, self.directory = front, ready, directory
         self.settings = Path(folder) / f"{name}.json"
         self.log = open(Path(folder) / f"{name}.log", "ab")
         self.process = None
         address = lambda port: f"127.0.0.1:{port}"
         self.settings.write_text(json.dumps({
             "nodeName": name, "role": "entry", "machineClass": "front", "serves": ["front", "directory"],
-            "ip": "127.0.0.1", "zone": "zone-a", "region": "region-a", "zones": {"zone-a": "region-a"},
+            "ip": "127.0.0.1", "zone": "zone-a", "region": "region-a", "zones": {"zone-a": "region-a", "zone-b": "region-a"},
             "listen": {"front": address(front), "readiness": address(ready), "control": address(control),
                        "directory": address(directory)},
             "portRange": [first, first + 1], "seeds": [], "bootstrap": True,
@@ -440,6 +447,35 @@
         return False
 
 
+class Directory:
+    """What requesters know of the entries: the newest answer of the directory, kept while there is no new one."""
+
+    TTL_S = 1.0
+
+    def __init__(self, record, entries):
+        self.record = record
+        self.entries = entries
+        self.named = []
+
+    async def follow(self):
+        while True:
+            await self.ask()
+            await asyncio.sleep(self.TTL_S)
+
+    async def ask(self):
+        """Asks the entries in any order, for one second each; an answer without addresses is a failure."""
+        for entry in random.sample(self.entries, len(self.entries)):
+            path = "/-/resolve?name=host.example&region=region-a&zone=zone-a"
+            answer = await exchange(entry.directory, "GET", path, {"Host": "directory"}, seconds=1.0)
+            addresses = json.loads(answer.body).get("addresses") if answer.status == 200 else None
+            if addresses:
+                named = [each for each in self.entries if f"127.0.0.1:{each.front}" in addresses]
+                if named != self.named:
+                    self.record.write(f"the directory names {', '.join(each.name for each in named)}")
+                self.named = named
+                return
+
+
 class Answer:
     def __init__(self, status, headers, body):
         self.status, self.headers, self.body = status, headers, body
