--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,7 +8,7 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 import standins
-from standins import BackendServer, Store, exchange, manifest, route, run_case
+from standins import BackendServer, Directory, Store, exchange, manifest, route, run_case
 
 REVOKE_S = 5.0  # revokeMs
 AWAY_S = 1.5  # for which the store is away in the drill
@@ -70,6 +70,10 @@
         await store.restore(copy)
         record.say("the store is back from the copy, in its next era")
     returned_at = time.monotonic()
+    # Requesters ask at moments of their own, so that some learn of each answer of the directory at once.
+    directory = Directory(record, entries)
+    directory.TTL_S = 0.1
+    following = asyncio.create_task(directory.follow())
     rewritten = False
     statuses = []
     while time.monotonic() < returned_at + 8.0:
@@ -78,9 +82,10 @@
             record.say("the operator has written version 12 again")
             rewritten = True
         if time.monotonic() > revoked_at + REVOKE_S:
-            for entry in entries:
+            for entry in directory.named:
                 statuses.append((entry.name, await send(entry, "key-revoked")))
         await asyncio.sleep(0.02)
+    following.cancel()
     assert await send(entries[0], "key-kept") == 200, "the restarted entry does not serve"
     late = [(sent[identity][0], identity, sent[identity][2] - revoked_at)
             for server in servers for identity, _, _, _ in server.runs
