--- a/review/6/case.py
+++ b/review/6/case.py
@@ -144,7 +144,7 @@
         record.say(f"{frozen.name} goes on")
     in_touch_at = time.monotonic() + CONTACT_S
     await send_until(ordered_at + FREEZE_AT_S + FREEZE_S + WATCHED_S, entries)
-    await asyncio.gather(*waiting)
+    await asyncio.wait(waiting, timeout=5)
     following.cancel()
 
     bad_at = sorted(at for server in new for at in server.bad_at)
