Make the stand-ins of the second review steadier

A server runs no more requests at once than it has slots. Scripts that run side by side take ports of ranges of their own. Entries end before the stand-ins that serve them: a cancelled wait that was lost kept one script from ending.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -316,7 +317,8 @@
         self.is_leaving = False
         self.born = int(time.time() * 1000)
         self.runs = []
-        self.running = 0
+        self.open = 0
+        self.free_slots = asyncio.Semaphore(slots)
         self.writers = set()
 
     def end(self):
@@ -356,27 +358,40 @@
         if headers.get("expect-instance", self.identity) != self.identity:
             return http_answer(421, b"", {"Request-Id": identity, "Not-Run": "1"})
         method, path, _ = line.split(" ")
-        self.runs.append((identity, path, headers, time.monotonic()))
-        self.record.write(f"run {self.identity} {method} {path} request={identity} tenant={headers.get('tenant')}")
-        self.running += 1
-        await asyncio.sleep(self.work_s)
-        self.running -= 1
+        arrived_at = time.monotonic()
+        self.open += 1
+        async with self.free_slots:
+            self.runs.append((identity, path, headers, arrived_at))
+            self.record.write(f"run {self.identity} {method} {path} request={identity} tenant={headers.get('tenant')}")
+            await asyncio.sleep(self.work_s)
+        self.open -= 1
+        load = f"{min(self.open, self.slots)},{max(0, self.open - self.slots)},{self.slots}"
         answer = f"answer of {self.identity} to {identity}".encode()
         return http_answer(200, answer, {"Request-Id": identity, "Response-Stamp": f"stamp-{self.identity}-{identity}",
-                                         "Server-Load": f"{self.running},0,{self.slots}"})
+                                         "Server-Load": load})
+
+
+FIRST_PORT = 12_000
+PORTS_OF_SCRIPT = 60
+SCRIPTS = 330
+next_port = itertools.count(FIRST_PORT + os.getpid() % SCRIPTS * PORTS_OF_SCRIPT)
 
 
 def free_ports(count):
-    """Returns `count` free ports in a row, below the range from which the system takes those of outgoing connections."""
+    """Returns `count` free ports in a row.
+
+    They lie below the range from which the system takes those of outgoing connections, and scripts that run side by
+    side take theirs from ranges of their own.
+    """
     while True:
-        first = random.randrange(12_000, 32_000)
+        ports = [next(next_port) for _ in range(count)]
         held = []
         try:
-            for port in range(first, first + count):
+            for port in ports:
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     held.append(socket.socket(socket.AF_INET, kind))
                     held[-1].bind(("127.0.0.1", port))
-            return list(range(first, first + count))
+            return ports
         except OSError:
             continue
         finally:
@@ -535,9 +550,18 @@
         entries.append(Entry(record, work, name, store_port))
         return entries[-1]
 
+    async def main():
+        try:
+            return await asyncio.wait_for(play(record, make_entry), 105)
+        finally:
+            # The entries end before the stand-ins, which serve them until their connections are closed.
+            for entry in entries:
+                entry.kill()
+            await asyncio.sleep(0.2)
+
     try:
         record.say(f"TROUBLE={'1' if TROUBLE else '0'}")
-        wrong = asyncio.run(asyncio.wait_for(play(record, make_entry), 110))
+        wrong = asyncio.run(main())
     except Exception as failure:  # The case could not run.
         record.say(f"could not run: {failure!r}")
         sys.exit(2)
