--- a/review/6/case.py
+++ b/review/6/case.py
@@ -63,12 +63,11 @@
                 await read_body(reader, message[1])
                 await self.awake.wait()
                 work = asyncio.create_task(self.answer(message[1], writer))
-                gone = asyncio.create_task(reader.read(1))
-                await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
-                if not work.done():
-                    work.cancel()
-                gone.cancel()
-                return
+                while not work.done():
+                    await asyncio.wait((work,), timeout=0.02)
+                    if self.awake.is_set() and (reader.at_eof() or reader.exception()):
+                        return
+                work.result()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -78,7 +77,7 @@
 
     async def answer(self, headers, writer):
         identity = headers.get("request-id", "")
-        names = {"Request-Id": identity, "Connection": "close"}
+        names = {"Request-Id": identity}
         if headers.get("expect-instance", self.identity) != self.identity:
             writer.write(http_answer(421, b"", {**names, "Not-Run": "1"}))
             return await writer.drain()
