Read the status line of an answer by the grammar

Cause: the library's decoder takes for a status whatever Integer.parseInt reads, and any protocol name for a version; all that is not 2xx then counted as a failure that can be passed on.

Change: a decoder of our own, in a new module for all that reads answers, parses the status line by RFC 9112: version 1.x, one blank, three digits from 100 to 599, one blank, a reason without control bytes. Bytes that are none end the attempt as invalid, so that no code behind the decoder meets them; an attempt that may have run is not repeated, as before.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
@@ -7,12 +7,14 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import org.yuccajunction.forward.AttemptEnd
+import org.yuccajunction.http.HeldBytes
 
 /** Reads one answer of a backend server and decides whether the answer can be passed on to the caller. */
 internal class AnswerReader(
     private val attempt: ServerAttempt,
     private val response: HttpResponse,
     private val head: AnswerHead,
+    private val held: HeldBytes,
 ) {
     private val exchange = attempt.exchange
     private val isUsable = head.canBePassedOn(exchange.request.id)
@@ -20,7 +22,6 @@
         isUsable && head.isSuccess && exchange.request.route.isStream && exchange.method != HttpMethod.HEAD
     private val splitter = if (isStream) EventSplitter() else null
     private val body: ByteBuf = Unpooled.buffer(0)
-    private var heldBytes = 0
 
     val status: Int get() = head.status
 
@@ -34,7 +35,7 @@
     /** Adds [content] to the answer; returns false where the body or one of its events is too large to be held. */
     fun add(content: ByteBuf): Boolean {
         val isSmallEnough = if (splitter == null) addToBody(content) else addToStream(splitter, content)
-        return isSmallEnough && holdsBytes(splitter?.partialEventBytes ?: body.readableBytes())
+        return isSmallEnough && held.set(splitter?.partialEventBytes ?: body.readableBytes())
     }
 
     private fun addToStream(splitter: EventSplitter, content: ByteBuf): Boolean {
@@ -42,15 +43,9 @@
         return !splitter.isEventTooLarge
     }
 
-    private fun holdsBytes(bytes: Int): Boolean {
-        val added = bytes - heldBytes
-        heldBytes = bytes
-        return exchange.dataPlane.answerMemory.adjust(added)
-    }
-
     /** Gives back the memory of the answer, which is not read any further. */
     fun close() {
-        holdsBytes(0)
+        held.set(0)
     }
 
     private fun addToBody(content: ByteBuf): Boolean {
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/DataPlane.kt
@@ -11,6 +11,7 @@
 import org.yuccajunction.forward.ForwardEnvironment
 import org.yuccajunction.forward.RefusalCause
 import org.yuccajunction.forward.StopSchedule
+import org.yuccajunction.http.AnswerMemory
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
@@ -43,6 +44,7 @@
     val clock: SuspensionAwareClock = SuspensionAwareClock(),
     val loopDelay: EventLoopDelay = EventLoopDelay(),
     val requestMemory: RequestMemory = RequestMemory(),
+    val answerMemory: AnswerMemory = AnswerMemory(),
 ) {
     val random: Random = Random.Default
     private val predictions = PredictionTelemetry(metrics, log)
@@ -59,7 +61,6 @@
         with(settings.bounds) { ServiceRetryBudget(retryBudgetRatio, retryBudgetBase, retryBudgetWindow) }
     val usageWindows = UsageWindows(settings.bounds.usageWindow)
     val serverConnections = ServerConnections(this)
-    val answerMemory = AnswerMemory()
     val callerConnections = HashSet<CallerConnection>()
     private val quarantineTelemetry = QuarantineTelemetry(log)
     val quarantine = CrashQuarantine(settings.name, ::quarantineDecided, ::reportUrgently)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -14,15 +14,22 @@
 import org.yuccajunction.control.LogEvent
 import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.forward.AttemptEnd
+import org.yuccajunction.http.AnswerMemory
+import org.yuccajunction.http.HeldBytes
 import org.yuccajunction.model.MonotonicTime
 import java.io.IOException
 import kotlin.time.Duration.Companion.seconds
 
-/** Handles one connection to a backend server, which carries at most one attempt at a time. */
+/**
+ * Handles one connection to a backend server, which carries at most one attempt at a time.
+ *
+ * @param memory bounds what is held of the server's answers, on all connections to the server
+ */
 internal class ServerConnection(
     private val dataPlane: DataPlane,
     val server: BackendServer,
     private val decoder: ServerAnswerDecoder,
+    private val memory: AnswerMemory,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private val mergedAnswers = MergedAnswers(dataPlane.wire)
@@ -139,7 +146,7 @@
         when (match) {
             AnswerMatch.OWN, AnswerMatch.OWN_UNNAMED -> {
                 current.answer = matching.originOf(head)
-                answer = AnswerReader(current, response, head)
+                answer = AnswerReader(current, response, head, HeldBytes(memory))
             }
             AnswerMatch.INTERIM, AnswerMatch.OTHER_REQUEST -> Unit
             AnswerMatch.UNPROVEN, AnswerMatch.TOO_MANY -> failAttempt(AttemptEnd.INVALID)
@@ -179,7 +186,7 @@
         attempt?.let { extraAnswers.requestAnswered(it.exchange.request.id, reader.status) }
         attempt = null
         val isReusable =
-            !reader.isCloseDelimited && !isStateUncertain && isRequestWritten && isOpen && !decoder.hasUndecodedBytes
+            !reader.isCloseDelimited && !isStateUncertain && isRequestWritten && isOpen && !decoder.hasPartialHead
         if (isReusable) makeAvailable() else close()
         reader.finish()
     }
@@ -209,8 +216,7 @@
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
         attempt?.exchange?.flush()
-        // The decoder also keeps what it has read of a head to the end of a line, where no bytes are left.
-        if (attempt == null && (hasReadWhileIdle || decoder.hasUndecodedBytes)) {
+        if (attempt == null && (hasReadWhileIdle || decoder.hasPartialHead)) {
             extraAnswers.recordPartial()
             close()
         }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -12,6 +12,7 @@
 import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.fleet.FleetSnapshot
 import org.yuccajunction.forward.AttemptEnd
+import org.yuccajunction.http.AnswerMemory
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.MonotonicTime
 import org.yuccajunction.model.ServiceName
@@ -159,8 +160,10 @@
     private fun initializer(server: BackendServer) =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                val decoder = ServerAnswerDecoder()
-                channel.pipeline().addLast(decoder, HttpRequestEncoder(), ServerConnection(dataPlane, server, decoder))
+                val memory = pools[server.id]?.memory ?: dataPlane.answerMemory
+                val decoder = ServerAnswerDecoder(memory)
+                val connection = ServerConnection(dataPlane, server, decoder, memory)
+                channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
             }
         }
 
@@ -203,10 +206,10 @@
         val known = pools[server.id]
         if (known != null && known.server.isSameIncarnation(server)) return known
         known?.close()
-        return Pool(server).also { pools[server.id] = it }
+        return Pool(server, dataPlane.answerMemory.shareOfServer()).also { pools[server.id] = it }
     }
 
-    private class Pool(val server: BackendServer) {
+    private class Pool(val server: BackendServer, val memory: AnswerMemory) {
         val idle = ArrayDeque<ServerConnection>()
 
         /**
--- /dev/null
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
@@ -0,0 +1,45 @@
+package org.yuccajunction.http
+
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+
+/**
+ * Parses the lines of an answer by the grammar of HTTP/1.1 (RFC 9110 and RFC 9112), without its end of line.
+ *
+ * What the grammar does not allow is refused and never repaired: a line that recipients read in different ways may end
+ * an answer early, or give it another status or body than the server's. All functions throw [InvalidAnswerException].
+ */
+internal object AnswerGrammar {
+    private val STATUS_LINE = Regex("""HTTP/1\.(\d) ([1-5]\d\d) (.*)""")
+    private const val CHUNK_SIZE_DIGITS = 15
+    private const val HEXADECIMAL = 16
+
+    fun statusLine(line: String): StatusLine {
+        val (minorVersion, code, reason) = STATUS_LINE.matchEntire(line)?.destructured ?: refuse("status line", line)
+        if (!isText(reason)) refuse("reason phrase", line)
+        val version = if (minorVersion == "0") HttpVersion.HTTP_1_0 else HttpVersion.HTTP_1_1
+        return StatusLine(version, HttpResponseStatus(code.toInt(), reason))
+    }
+
+    /** Returns the field of [line], whose name ends at the first blank or colon. */
+    fun fieldLine(line: String): FieldLine {
+        val nameEnd = line.indexOfAny(charArrayOf(':', ' ', '\t'))
+        if (nameEnd <= 0) refuse("field line", line)
+        return FieldLine(line.substring(0, nameEnd), line.substring(nameEnd).trimStart(' ', '\t', ':').trim())
+    }
+
+    /** Returns the size in bytes of the chunk that follows [line]. */
+    fun chunkSize(line: String): Long {
+        val digits = line.takeWhile { it.digitToIntOrNull(HEXADECIMAL) != null }
+        if (digits.isEmpty() || digits.length > CHUNK_SIZE_DIGITS) refuse("chunk size", line)
+        return digits.toLong(HEXADECIMAL)
+    }
+
+    /** Returns whether [text] has no control bytes but tabs. */
+    private fun isText(text: String): Boolean = text.none { it < ' ' && it != '\t' || it == '\u007f' }
+
+    private fun refuse(part: String, line: String): Nothing =
+        throw InvalidAnswerException("invalid $part: ${line.take(MAX_QUOTED_CHARS)}")
+
+    private const val MAX_QUOTED_CHARS = 80
+}
