Take no answer whose length can be read in two ways

Cause: the library's decoder ignores a transfer coding that it does not know and reads the body up to the end of the connection; the gateway drops the coding's name, which concerns one connection only, and passes the coded body on.

--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
@@ -11,6 +11,7 @@
  */
 internal object AnswerGrammar {
     private val STATUS_LINE = Regex("""HTTP/1\.(\d) ([1-5]\d\d) (.*)""")
+    private val CONTENT_LENGTH = Regex("""\d{1,18}""")
     private const val CHUNK_SIZE_DIGITS = 15
     private const val HEXADECIMAL = 16
     private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
@@ -33,6 +34,12 @@
         return FieldLine(name, value)
     }
 
+    /** Returns the length of a body in bytes, where [value] is the value of the one field that gives it. */
+    fun contentLength(value: String): Long {
+        if (!CONTENT_LENGTH.matches(value)) refuse("content length", value)
+        return value.toLong()
+    }
+
     /** Returns the size in bytes of the chunk that follows [line]. */
     fun chunkSize(line: String): Long {
         val digits = line.takeWhile { it.digitToIntOrNull(HEXADECIMAL) != null }
