--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
@@ -42,11 +42,24 @@
 
     /** Returns the size in bytes of the chunk that follows [line]. */
     fun chunkSize(line: String): Long {
-        val digits = line.takeWhile { it.digitToIntOrNull(HEXADECIMAL) != null }
-        if (digits.isEmpty() || digits.length > CHUNK_SIZE_DIGITS) refuse("chunk size", line)
-        return digits.toLong(HEXADECIMAL)
+        val digits = line.indexOfFirst { it.digitToIntOrNull(HEXADECIMAL) == null }.let {
+            if (it <
+                0
+            ) {
+                line.length
+            } else {
+                it
+            }
+        }
+        if (digits == 0 || digits > CHUNK_SIZE_DIGITS) refuse("chunk size", line)
+        if (!isChunkExtension(line.substring(digits))) refuse("chunk extension", line)
+        return line.substring(0, digits).toLong(HEXADECIMAL)
     }
 
+    /** Returns whether [text] is empty or begins as an extension; what an extension says is ignored. */
+    private fun isChunkExtension(text: String): Boolean =
+        text.isEmpty() || isText(text) && text.trimStart(' ', '\t').startsWith(';')
+
     private fun isToken(text: String): Boolean =
         text.isNotEmpty() && text.all { it.code < TOKEN_CHARS.size && TOKEN_CHARS[it.code] }
 
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/ChunkReader.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/ChunkReader.kt
@@ -44,5 +44,9 @@
         return missingBytes == 0L
     }
 
-    private fun readEnd(buffer: ByteBuf): Boolean = lines.read(buffer, AnswerBounds.MAX_CHUNK_LINE_BYTES) != null
+    private fun readEnd(buffer: ByteBuf): Boolean {
+        val line = lines.read(buffer, maxBytes = 1) ?: return false
+        if (line.isNotEmpty()) throw InvalidAnswerException("a chunk that is longer than its size")
+        return true
+    }
 }
