Leave a platform call unanswered whose answer is none

Cause: PlatformHttpClient read answers through the library's codec and took what it could not decode for an answer of status 999. An interim answer counted as the answer, and the answer behind it then met the next call.

Change: the client reads by the decoder that backend servers' answers go through, and skips interim answers. Bytes that are no answer, or more than 8 MiB, leave the call unanswered, which counts as unknown. All answers of the platform together may take an eighth of the heap. A chunked body whose lines are out of proportion to its data is refused as well, here and for backend servers.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/AnswerReader.kt
@@ -2,12 +2,11 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.http.HeldBytes
+import org.yuccajunction.http.endsWithConnection
 
 /** Reads one answer of a backend server and decides whether the answer can be passed on to the caller. */
 internal class AnswerReader(
@@ -26,11 +25,7 @@
     val status: Int get() = head.status
 
     /** Whether the answer has no length and no chunks, so that only the end of the connection ends the body. */
-    val isCloseDelimited: Boolean =
-        exchange.method != HttpMethod.HEAD &&
-            !HttpUtil.isTransferEncodingChunked(response) &&
-            !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
-            response.status().code() !in BODILESS_STATUSES
+    val isCloseDelimited: Boolean = response.endsWithConnection(isAnswerToHead = exchange.method == HttpMethod.HEAD)
 
     /** Adds [content] to the answer; returns false where the body or one of its events is too large to be held. */
     fun add(content: ByteBuf): Boolean {
@@ -71,6 +66,5 @@
 
     private companion object {
         const val MAX_BODY_BYTES = 8 * 1_048_576
-        val BODILESS_STATUSES = setOf(204, 304)
     }
 }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
@@ -3,23 +3,21 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpObjectAggregator
-import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccajunction.http.AnswerDecoder
+import org.yuccajunction.http.AnswerMemory
+import org.yuccajunction.http.HeldBytes
 import org.yuccajunction.model.Endpoint
 import kotlin.time.Duration
 
@@ -30,6 +28,7 @@
  * have vanished.
  */
 public class PlatformHttpClient(private val loop: EventLoop) {
+    private val memory = AnswerMemory(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
     private val idleConnections = HashMap<Endpoint, ArrayDeque<IdleConnection>>()
     private val bootstrap =
         Bootstrap()
@@ -48,7 +47,7 @@
     ): HttpReply {
         val channel = takeIdle(endpoint) ?: connect(endpoint) ?: return HttpReply.NotSent("can't connect to $endpoint")
         val answer = CompletableDeferred<HttpReply>()
-        channel.pipeline().get(AnswerHandler::class.java).answer = answer
+        channel.pipeline().get(PlatformAnswerHandler::class.java).begin(answer)
         channel.writeAndFlush(request(endpoint, method, uri, body, headers))
         val reply =
             try {
@@ -101,34 +100,11 @@
 
     private class IdleConnection(val channel: Channel, val idleSinceNanos: Long)
 
-    private class Initializer : ChannelInitializer<SocketChannel>() {
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAX_ANSWER_BYTES), AnswerHandler())
-        }
-    }
-
-    private class AnswerHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
-        var answer: CompletableDeferred<HttpReply>? = null
-
-        override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
-            val waiting = answer
-            answer = null
-            if (waiting == null || !HttpUtil.isKeepAlive(response)) context.close()
-            val body = response.content().toString(Charsets.UTF_8)
-            val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
-            waiting?.complete(HttpReply.Answered(response.status().code(), body, headers))
-        }
-
-        override fun channelInactive(context: ChannelHandlerContext) {
-            answer?.complete(HttpReply.Unanswered("the connection was closed before the answer"))
-            answer = null
-        }
-
-        @Deprecated("Netty deprecates this method, but its pipeline still calls it.")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            answer?.complete(HttpReply.Unanswered("the connection failed before the answer: ${cause.message}"))
-            answer = null
-            context.close()
+            val decoder = AnswerDecoder(memory)
+            val handler = PlatformAnswerHandler(decoder, HeldBytes(memory), MAX_ANSWER_BYTES)
+            channel.pipeline().addLast(decoder, HttpRequestEncoder(), handler)
         }
     }
 
@@ -136,5 +112,8 @@
         const val CONNECT_TIMEOUT_MILLIS = 500
         const val MAX_ANSWER_BYTES = 8 * 1_048_576
         const val MAX_IDLE_NANOS = 4_000_000_000L
+
+        /** The platform's answers may take an eighth of the heap, beside those of backend servers. */
+        const val HEAP_DIVISOR = 8
     }
 }
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/EndlessAnswerTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/EndlessAnswerTest.kt
@@ -5,7 +5,6 @@
 import org.yuccajunction.gateway.ScriptedServer.Companion.requestId
 import org.yuccajunction.gateway.ScriptedServer.Companion.send
 import org.yuccajunction.gateway.ScriptedServer.Companion.streamHead
-import java.io.IOException
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.Test
@@ -19,23 +18,10 @@
 class EndlessAnswerTest {
     private val sentBytes = AtomicLong()
 
-    /** Sends [start] and then [rest] again and again until the connection ends or the test is over. */
-    private fun endless(connection: Socket, start: String, rest: String) {
-        val bytes = rest.repeat(maxOf(1, BLOCK_BYTES / rest.length)).toByteArray()
-        val deadline = TimeSource.Monotonic.markNow() + TEST_TIME
-        connection.send(start)
-        try {
-            while (deadline.hasNotPassedNow()) {
-                connection.getOutputStream().write(bytes)
-                sentBytes.addAndGet(bytes.size.toLong())
-            }
-        } catch (_: IOException) {
-            // The gateway has closed the connection, which is what the test waits for.
-        }
-    }
-
     private fun answerTo(path: String, start: (request: String) -> String, rest: String): String =
-        ScriptedServer { request, connection -> endless(connection, start(request), rest) }.use { server ->
+        ScriptedServer { request, connection ->
+            EndlessBytes(sentBytes, TEST_TIME).send(connection, start(request), rest)
+        }.use { server ->
             GatewayFixture(server).use { it.exchange(path) }
         }
 
@@ -107,7 +93,6 @@
     }
 
     private companion object {
-        const val BLOCK_BYTES = 16_384
         const val EVENT_BYTES = 32_768
 
         /** Whole answers may have 8 MiB; the rest is for buffers of the sockets. */
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerDecoder.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerDecoder.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.ByteToMessageDecoder
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -30,6 +31,11 @@
     /** Returns whether the answer with the given head is one to HEAD, which has no body. */
     public var isAnswerToHead: (HttpResponse) -> Boolean = { false }
 
+    /** Whether the server has ended the connection in an orderly way, after all that it has sent. */
+    @Volatile
+    public var isInputEnded: Boolean = false
+        private set
+
     private val held = HeldBytes(memory)
     private val lines = LineReader()
     private var state = State.STATUS_LINE
@@ -181,6 +187,11 @@
         if (state == State.BODY && missingBytes == null) end(LastHttpContent.EMPTY_LAST_CONTENT, messages)
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event === ChannelInputShutdownEvent.INSTANCE) isInputEnded = true
+        super.userEventTriggered(context, event)
+    }
+
     override fun handlerRemoved0(context: ChannelHandlerContext) {
         held.set(0)
     }
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/BodyFraming.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/BodyFraming.kt
@@ -55,3 +55,11 @@
         }
     }
 }
+
+/**
+ * Returns whether only the end of the connection ends the body of this answer, which may be one to HEAD.
+ *
+ * Such a body is whole only where that end is the server's own.
+ */
+public fun HttpResponse.endsWithConnection(isAnswerToHead: Boolean): Boolean =
+    BodyFraming.of(this, isAnswerToHead) == BodyFraming.UntilClose
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/ChunkReader.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/ChunkReader.kt
@@ -9,6 +9,9 @@
     private var part = Part.SIZE
     private var missingBytes = 0L
 
+    /** Bytes of chunk lines so far that are out of proportion to the data that came with them. */
+    private var excessBytes = 0L
+
     /** Moves what [buffer] holds of the body to [target]; returns whether the line of the last chunk was read. */
     fun read(buffer: ByteBuf, target: ByteBuf): Boolean {
         while (true) {
@@ -34,6 +37,8 @@
     private fun readSize(buffer: ByteBuf): Boolean {
         val line = lines.read(buffer, AnswerBounds.MAX_CHUNK_LINE_BYTES) ?: return false
         missingBytes = AnswerGrammar.chunkSize(line)
+        excessBytes = maxOf(0, excessBytes + line.length - AnswerBounds.CHUNK_LINE_ALLOWANCE_BYTES - missingBytes)
+        if (excessBytes > AnswerBounds.MAX_EXCESS_CHUNK_LINE_BYTES) throw InvalidAnswerException("more lines than data")
         return true
     }
 
