Read the answers of the own interface and its platform by the grammar, within bounds

Cause: the client engine of the library bounds neither a head nor a body, so a load report, a failure's detail or an order was read until the time limit or the end of memory; its parser takes three or four digits for a status and any byte from 0x7f on for a part of a name. The rest of an interim answer that it did not ask for broke the answer behind it.

Change: an engine for the library's client that reads by the decoder of the gateway.

--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/engine/OpenAiModelEngine.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/engine/OpenAiModelEngine.kt
@@ -13,6 +13,8 @@
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
+import io.ktor.utils.io.core.readText
+import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.readUTF8Line
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -22,6 +24,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.put
+import org.yuccajunction.adapters.http.AnswerClient
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.FencingNumber
 import org.yuccajunction.model.LoadReport
@@ -54,6 +57,7 @@
     }
 
     private fun HttpRequestBuilder.setGenerationRequest(request: EngineRequest) {
+        AnswerClient.expectStream(this)
         contentType(ContentType.Application.Json)
         header("X-Request-Id", request.attemptId)
         header("X-Priority", request.requestClass.ordinal)
@@ -83,7 +87,7 @@
     private suspend fun HttpResponse.toFailureEvent(): EngineEvent {
         val notRun = headers["X-Not-Run"].equals("true", ignoreCase = true)
         if (notRun) return EngineEvent.Rejected("the engine rejected the request with status ${status.value}", false)
-        val detail = bodyAsText().take(DETAIL_LIMIT_CHARS)
+        val detail = bodyAsChannel().readRemaining(DETAIL_LIMIT_BYTES).readText()
         return EngineEvent.Failed(status.value, detail)
     }
 
@@ -132,7 +136,7 @@
 
     private companion object {
         const val LINE_LIMIT_CHARS = 1_048_576
-        const val DETAIL_LIMIT_CHARS = 500
+        const val DETAIL_LIMIT_BYTES = 500L
         val CALL_TIMEOUT = 2.seconds
         val JSON = Json { ignoreUnknownKeys = true }
     }
