--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -14,6 +14,7 @@
 import org.yuccajunction.forward.ForwardService
 import org.yuccajunction.forward.WorkspacePolicy
 import org.yuccajunction.gateway.ScriptedServer.Companion.send
+import org.yuccajunction.http.AnswerMemory
 import org.yuccajunction.model.AvailabilityZone
 import org.yuccajunction.model.BackendServerId
 import org.yuccajunction.model.Endpoint
@@ -37,12 +38,15 @@
     private val otherServer: ScriptedServer? = null,
     private val timeLimit: Duration = TIME_LIMIT,
     private val maxBodyBytes: Int = 10_000,
+    private val slots: Int = 8,
     requestMemory: RequestMemory = RequestMemory(),
+    answerMemory: AnswerMemory = AnswerMemory(),
 ) : Closeable {
     private val loopDelay = EventLoopDelay()
     private val group = TrafficLoop.group(loopDelay)
     private val loopback = InetAddress.getLoopbackAddress().hostAddress
     private val service = ServiceName("service")
+    private val otherService = ServiceName("other-service")
     private val anyPort = Endpoint(loopback, 0)
     private val settings =
         GatewaySettings("entry", AvailabilityZone("zone"), anyPort, anyPort, anyPort, anyPort, anyPort, anyPort)
@@ -62,6 +66,7 @@
             clock,
             loopDelay,
             requestMemory,
+            answerMemory,
         )
     private val callerListener: Channel
     private val port: Int
@@ -79,14 +84,19 @@
     }
 
     /** Lets this entry know [peer] as [name], by a heartbeat. */
-    fun addPeer(name: String, peer: GatewayFixture) {
+    fun addPeer(name: String, peer: GatewayFixture) = addPeer(name, peer.port, peer.peerPort)
+
+    /** Lets this entry know [standIn], which takes what is forwarded to it, as the entry [name]. */
+    fun addPeer(name: String, standIn: ScriptedServer) = addPeer(name, standIn.port, standIn.port)
+
+    private fun addPeer(name: String, callerPort: Int, peerPort: Int) {
         val heartbeat =
             EntryHeartbeat(
                 name = name,
                 incarnation = 1,
                 sequence = 1,
-                callerAddress = "$loopback:${peer.port}",
-                peerAddress = "$loopback:${peer.peerPort}",
+                callerAddress = "$loopback:$callerPort",
+                peerAddress = "$loopback:$peerPort",
                 availabilityZone = "zone",
                 isReady = true,
             )
@@ -103,7 +113,7 @@
     private fun fleet(): FleetSnapshot {
         val listed =
             servers.withIndex().map { (index, server) -> listing("server-$index", service, server) } +
-                listOfNotNull(otherServer).map { listing("other", ServiceName("other-service"), it) }
+                listOfNotNull(otherServer).map { listing("other", otherService, it) }
         val configuration =
             ForwardConfiguration(
                 revision = Revision(1),
@@ -113,8 +123,12 @@
                     route("/once/", isStream = false, mayRepeat = false),
                     route("/stream/", isStream = true, mayRepeat = true),
                     route("/stream-once/", isStream = true, mayRepeat = false),
+                    route("/other/", isStream = false, mayRepeat = false, service = otherService),
                 ),
-                services = persistentMapOf(service to ForwardService(service, maxConnections = 100)),
+                services =
+                listOf(service, otherService)
+                    .associateWith { ForwardService(it, maxConnections = 100) }
+                    .toPersistentMap(),
                 workspacesByKey = persistentMapOf("key-1" to WorkspacePolicy(WorkspaceId("workspace"))),
                 limits = CallerLimits(headerBytes = 2_048, bodyBytes = maxBodyBytes, headerTimeout = 400.milliseconds),
             )
@@ -133,10 +147,10 @@
             service,
             Endpoint(loopback, server.port),
             AvailabilityZone("zone"),
-            slots = 8,
+            slots = slots,
         )
 
-    private fun route(prefix: String, isStream: Boolean, mayRepeat: Boolean) =
+    private fun route(prefix: String, isStream: Boolean, mayRepeat: Boolean, service: ServiceName = this.service) =
         ForwardRoute(
             name = prefix,
             host = "host",
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/OddAnswers.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/OddAnswers.kt
@@ -29,6 +29,13 @@
             server.use { GatewayFixture(it).use { fixture -> fixture.exchange(path, "b") } }
         }
 
+    /** Heads of which each one breaks the grammar in another way, without the fields of a sound answer. */
+    val HEADS: List<String> =
+        listOf("000", "099", "600", "999", "0200", "2x0").map { "HTTP/1.1 $it OK\r\n" } +
+            listOf("na me: v", " name: v", "name : v", "na\u0001me: v", "name: a\u0000b", "name").map {
+                "$STATUS$it\r\n"
+            }
+
     /** Fails where a caller of [path] gets anything but 502 for one of the [heads], behind which [EVENT] stands. */
     fun assertFailures(path: String, heads: List<String>) {
         val answered = exchanges(path, heads.map { "$it\r\n$EVENT" }).mapValues { it.value.lines().first() }
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/ResumedStreamTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/ResumedStreamTest.kt
@@ -58,6 +58,12 @@
     fun `a resumption that is answered with an error ends the stream as broken off`(status: String) =
         assertBrokenOff { answer(it, "intruder", status) }
 
+    /** Guards against events of an answer that is none in the middle of a stream. */
+    @ParameterizedTest
+    @ValueSource(strings = ["000 OK", "0200 OK", "999 OK", "200 OK\r\nna me: v", "200 OK\r\n name: v"])
+    fun `a resumption that is answered with bytes that are no answer is broken off`(start: String) =
+        assertBrokenOff { "${streamHead(it).replace("200 OK", start)}${chunk("id: 3\ndata: intruder\n\n")}0\r\n\r\n" }
+
     @Test
     fun `a resumption that another server ends before the events that were sent is broken off`() =
         assertBrokenOff { streamHead(it) + chunk(event(1)) + "0\r\n\r\n" }
