Let no server that sends without end keep callers of other services waiting

Seen: other operators report a machine that ended by the bytes that a replica sent without end. Tried here with 60 requests at once to such a server: callers of another service were rejected, or waited longer than their route's time limit.

Change: one read of at most 16 KiB before the other connections have their turn, and a short way for the sizes of small chunks, beside the bounds of fields and chunk lines that the decoder has.

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnections.kt
@@ -1,6 +1,7 @@
 package org.yuccajunction.gateway
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -36,6 +37,8 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             // Reports that the server has ended the connection apart from any other close of it.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            // Lets no server keep the traffic thread busy with what it sends, on however many connections.
+            .option(ChannelOption.RECVBUF_ALLOCATOR, boundedReads())
 
     /**
      * Sends the [request] for [attempt] on an idle connection or a new one, unless it is no longer wanted by then.
@@ -233,6 +236,14 @@
     }
 
     companion object {
+        private fun boundedReads() =
+            AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1)
+
+        private const val MIN_READ_BYTES = 64
+        private const val FIRST_READ_BYTES = 2_048
+
+        /** Bytes that are read of one connection before the others have their turn. */
+        private const val MAX_READ_BYTES = 16_384
         private const val CONNECT_TIMEOUT_MILLIS = 300
 
         /** Time for which a new connection is watched before it carries a request that may be executed only once. */
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
@@ -13,7 +13,8 @@
     private val STATUS_LINE = Regex("""HTTP/1\.(\d) ([1-5]\d\d) (.*)""")
     private val CONTENT_LENGTH = Regex("""\d{1,18}""")
     private const val CHUNK_SIZE_DIGITS = 15
-    private const val HEXADECIMAL = 16
+    const val HEXADECIMAL = 16
+    private const val DECIMAL = 10
     private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
     private val TOKEN_CHARS = BooleanArray(128) { isTokenChar(it.toChar()) }
 
@@ -42,20 +43,21 @@
 
     /** Returns the size in bytes of the chunk that follows [line]. */
     fun chunkSize(line: String): Long {
-        val digits = line.indexOfFirst { it.digitToIntOrNull(HEXADECIMAL) == null }.let {
-            if (it <
-                0
-            ) {
-                line.length
-            } else {
-                it
-            }
-        }
-        if (digits == 0 || digits > CHUNK_SIZE_DIGITS) refuse("chunk size", line)
-        if (!isChunkExtension(line.substring(digits))) refuse("chunk extension", line)
-        return line.substring(0, digits).toLong(HEXADECIMAL)
+        val digits = line.takeWhile { hexadecimalDigit(it) >= 0 }
+        if (digits.isEmpty() || digits.length > CHUNK_SIZE_DIGITS) refuse("chunk size", line)
+        if (!isChunkExtension(line.substring(digits.length))) refuse("chunk extension", line)
+        return digits.toLong(HEXADECIMAL)
     }
 
+    /** Returns the value of a hexadecimal digit, a negative number for any other character. */
+    fun hexadecimalDigit(char: Char): Int =
+        when (char) {
+            in '0'..'9' -> char - '0'
+            in 'a'..'f' -> char - 'a' + DECIMAL
+            in 'A'..'F' -> char - 'A' + DECIMAL
+            else -> -1
+        }
+
     /** Returns whether [text] is empty or begins as an extension; what an extension says is ignored. */
     private fun isChunkExtension(text: String): Boolean =
         text.isEmpty() || isText(text) && text.trimStart(' ', '\t').startsWith(';')
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/LineReader.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/LineReader.kt
@@ -29,7 +29,13 @@
         return line
     }
 
-    private companion object {
+    /** Takes [bytes] bytes of [buffer], which the caller has found to be a line with its end. */
+    fun skip(buffer: ByteBuf, bytes: Int) {
+        searchedBytes = 0
+        buffer.skipBytes(bytes)
+    }
+
+    companion object {
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
--- a/yuccajunction-http/src/test/kotlin/org/yuccajunction/http/AnswerDecoderTest.kt
+++ b/yuccajunction-http/src/test/kotlin/org/yuccajunction/http/AnswerDecoderTest.kt
@@ -48,6 +48,8 @@
     fun `an answer is the same at whatever byte its reads are cut`() {
         val answers =
             mapOf(
+                "HTTP/1.1 200 OK\r\nname: v\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n" to
+                    "<200 v>good<end null>",
                 "HTTP/1.1 200 OK\r\nname: \ta b \r\ncontent-length: 4\r\n\r\ngood" to "<200 a b>good<end null>",
                 "HTTP/1.1 500 \r\nname:v\r\nContent-Length:0\r\n\r\n" to "<500 v><end null>",
                 "HTTP/1.0 404 Not Found\r\nname: v\r\n\r\nuntil the end" to "<404 v>until the end<end null>",
