--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CutAnswerTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/CutAnswerTest.kt
@@ -1,6 +1,8 @@
 package org.yuccajunction.gateway
 
 import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.yuccajunction.gateway.GatewayFixture.Companion.request
 import org.yuccajunction.gateway.ScriptedServer.Companion.readHead
 import org.yuccajunction.gateway.ScriptedServer.Companion.requestId
@@ -23,12 +25,16 @@
     private fun head(request: String) = "HTTP/1.1 200 OK\r\nid: ${requestId(request)}\r\nsignature: s\r\n\r\n"
 
     /** Returns what a caller gets whose long request the server answers, by [script], before it has read its body. */
-    private fun answerToLongRequest(script: (request: String, connection: Socket) -> Unit): String =
+    private fun answerToLongRequest(
+        path: String = "/once/x",
+        bodyBytes: Int = LONG_BODY_BYTES,
+        script: (request: String, connection: Socket) -> Unit,
+    ): String =
         ScriptedServer(SMALL_BUFFER_BYTES, ::readHead, script).use { server ->
             GatewayFixture(server, timeLimit = 5.seconds, maxBodyBytes = LONG_BODY_BYTES).use { fixture ->
                 fixture.connect().use { caller ->
-                    val body = "b".repeat(LONG_BODY_BYTES)
-                    thread(isDaemon = true) { runCatching { caller.send(request("/once/x", body, LONG_LIMIT)) } }
+                    val body = "b".repeat(bodyBytes)
+                    thread(isDaemon = true) { runCatching { caller.send(request(path, body, LONG_LIMIT)) } }
                     GatewayFixture.readAll(caller)
                 }
             }
@@ -46,6 +52,27 @@
         assertContains(answered.lines().first(), "502")
     }
 
+    /** The reset comes at once, so that it may overtake the part of the answer, or while a part of it was read. */
+    @ParameterizedTest
+    @CsvSource("0,0", "0,1000", "50,0", "50,100000", "300,0", "300,1000000")
+    fun `a part of an answer is never whole, whenever its connection is reset during an upload`(
+        silenceMillis: Long,
+        readBytes: Int,
+    ) {
+        for (path in listOf("/once/x", "/safe/x", "/stream-once/x")) {
+            for (bodyBytes in listOf(UPLOAD_BYTES, LONG_BODY_BYTES)) {
+                val answered =
+                    answerToLongRequest(path, bodyBytes) { request, connection ->
+                        connection.send(head(request) + half)
+                        connection.getInputStream().readNBytes(readBytes)
+                        Thread.sleep(silenceMillis)
+                        connection.reset()
+                    }
+                assertContains(answered.lines().first(), "502", message = "$path, $bodyBytes bytes")
+            }
+        }
+    }
+
     /** A server that is killed while no byte of the request waits to be read ends the connection without a reset. */
     @Test
     fun `an answer that ends before its request has been sent is not whole`() {
@@ -86,6 +113,7 @@
 
     private companion object {
         const val SMALL_BUFFER_BYTES = 16_384
+        const val UPLOAD_BYTES = 2_000_000
         const val LONG_BODY_BYTES = 12_000_000
         const val LONG_LIMIT = "key: key-1\r\nlimit: 5000\r\n"
         const val SENDING_MILLIS = 300L
