Count nothing of an answer after its memory was given back, and read reasons with any obs-text

A cancelled call gave the memory of its answer back while a part of it could still be counted, which would never be given back. The status line's reason may hold 0x85, which the pattern took for the end of a line.

--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/http/AnswerClientEngine.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/http/AnswerClientEngine.kt
@@ -31,7 +31,7 @@
 import kotlin.time.Duration
 
 /** Exchanges a request for an answer, each on a connection of its own, which is read no faster than the answer is. */
-internal class AnswerClientEngine(override val config: HttpClientEngineConfig, private val connectTimeout: Duration) :
+internal class AnswerClientEngine(override val config: HttpClientEngineConfig, connectTimeout: Duration) :
     HttpClientEngineBase("answer-client") {
     override val supportedCapabilities = setOf(HttpTimeoutCapability)
     private val shares = AnswerShares(AnswerMemory())
@@ -59,8 +59,8 @@
         val bounds = BodyBounds(HeldBytes(share), isStream = AnswerClient.isStreamExpected(data))
         callContext.job.invokeOnCompletion { bounds.release() }
         val channel = connect(data, share)
-        callContext.job.invokeOnCompletion { channel.close() }
         val inbox = channel.pipeline().get(AnswerInbox::class.java)
+        callContext.job.invokeOnCompletion { inbox.cancel() }
         inbox.send(RequestMessage.of(data))
         try {
             val head = ResponseHead.receive(inbox)
@@ -76,10 +76,8 @@
 
     private suspend fun connect(data: HttpRequestData, memory: AnswerMemory): Channel {
         val connected = CompletableDeferred<Channel>()
-        val timeoutMillis = data.getCapabilityOrNull(HttpTimeoutCapability)?.connectTimeoutMillis
-        val attempt = bootstrap.clone().handler(Initializer(memory, isToHead(data)))
-        if (timeoutMillis != null) attempt.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt())
-        val future = attempt.connect(data.url.host, data.url.port)
+        val initializer = Initializer(memory, isToHead(data))
+        val future = bootstrap.clone().handler(initializer).connect(data.url.host, data.url.port)
         future.addListener {
             val cause = future.cause()
             if (cause == null) connected.complete(future.channel()) else connected.completeExceptionally(cause)
--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/http/BodyBounds.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/http/BodyBounds.kt
@@ -11,11 +11,13 @@
  */
 internal class BodyBounds(private val held: HeldBytes, private val isStream: Boolean) {
     private var countedBytes = 0L
+    private var isReleased = false
 
     /** Counts [content], which comes when [unreadBytes] have not been read; returns whether it can be held. */
+    @Synchronized
     fun add(content: ByteBuf, unreadBytes: Long): Boolean {
         countedBytes = bytesAfterLineEnd(content)?.toLong() ?: (countedBytes + content.readableBytes())
-        if (countedBytes > MAX_BODY_BYTES) return false
+        if (isReleased || countedBytes > MAX_BODY_BYTES) return false
         val readableBytes = if (isStream) unreadBytes + content.readableBytes() else 0
         return held.set((countedBytes + readableBytes).toInt())
     }
@@ -27,8 +29,10 @@
         return if (lineFeed < 0) null else content.writerIndex() - lineFeed - 1
     }
 
-    /** Gives the memory back, after the last byte was read. */
+    /** Gives the memory back, once the answer is not read any further; may come while a part is counted. */
+    @Synchronized
     fun release() {
+        isReleased = true
         held.set(0)
     }
 
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerDecoder.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerDecoder.kt
@@ -165,13 +165,8 @@
     }
 
     private fun fail(cause: InvalidAnswerException, messages: MutableList<Any>) {
-        val failure = if (state == State.STATUS_LINE ||
-            state == State.HEADERS
-        ) {
-            invalidHead()
-        } else {
-            DefaultLastHttpContent()
-        }
+        val isInHead = state == State.STATUS_LINE || state == State.HEADERS
+        val failure = if (isInHead) invalidHead() else DefaultLastHttpContent()
         failure.decoderResult = DecoderResult.failure(cause)
         messages += failure
         section = FieldSection(lines)
--- a/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
+++ b/yuccajunction-http/src/main/kotlin/org/yuccajunction/http/AnswerGrammar.kt
@@ -10,7 +10,7 @@
  * an answer early, or give it another status or body than the server's. All functions throw [InvalidAnswerException].
  */
 internal object AnswerGrammar {
-    private val STATUS_LINE = Regex("""HTTP/1\.(\d) ([1-5]\d\d) (.*)""")
+    private val STATUS_LINE = Regex("""HTTP/1\.(\d) ([1-5]\d\d) (.*)""", RegexOption.DOT_MATCHES_ALL)
     private val CONTENT_LENGTH = Regex("""\d{1,18}""")
     private const val CHUNK_SIZE_DIGITS = 15
     const val HEXADECIMAL = 16
