--- a/yuccajunction-adapters/src/test/kotlin/org/yuccajunction/adapters/http/BrokenAnswerTest.kt
+++ b/yuccajunction-adapters/src/test/kotlin/org/yuccajunction/adapters/http/BrokenAnswerTest.kt
@@ -25,6 +25,7 @@
 import org.yuccajunction.port.ExpectedVersion
 import org.yuccajunction.port.ObjectVersion
 import org.yuccajunction.port.ObjectWriting
+import org.yuccajunction.testing.RawServer
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/OddAnswerPlacesTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/OddAnswerPlacesTest.kt
@@ -63,19 +63,23 @@
                     connection.send(answer(request, "own ${requestId(request)}"))
                     if (requestId(request) == "r1") connection.send("$head\r\n")
                 }
-            server.use {
-                GatewayFixture(it).use { fixture ->
-                    fixture.exchange("/once/x", "b")
-                    Thread.sleep(SETTLING_MILLIS)
-                    fixture.connect().use { caller ->
-                        caller.send(request("/once/x", "b", id = "r2"))
-                        assertContains(GatewayFixture.readAll(caller), "own r2")
-                    }
-                    assertEquals(2, it.connections.size)
+            assertContains(secondAnswer(server), "own r2")
+            assertEquals(2, server.connections.size)
+        }
+    }
+
+    /** Returns what the second of two callers gets. */
+    private fun secondAnswer(server: ScriptedServer): String =
+        server.use {
+            GatewayFixture(server).use { fixture ->
+                fixture.exchange("/once/x", "b")
+                Thread.sleep(SETTLING_MILLIS)
+                fixture.connect().use { caller ->
+                    caller.send(request("/once/x", "b", id = "r2"))
+                    GatewayFixture.readAll(caller)
                 }
             }
         }
-    }
 
     private companion object {
         const val SETTLING_MILLIS = 50L
--- a/yuccajunction-adapters/src/test/kotlin/org/yuccajunction/adapters/http/RawServer.kt
+++ b/yuccajunction-test-support/src/main/kotlin/org/yuccajunction/testing/RawServer.kt
@@ -1,4 +1,4 @@
-package org.yuccajunction.adapters.http
+package org.yuccajunction.testing
 
 import org.yuccajunction.model.Endpoint
 import java.io.Closeable
@@ -12,8 +12,12 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** Plays a server on loopback that writes what [script] says, be it an answer or not, once it has a request's head. */
-internal class RawServer(
+/**
+ * Plays a server on loopback that writes what [script] says, be it an answer or not, once it has the head of a request.
+ *
+ * @param receiveBufferBytes size of the receive buffers of connections, null for the system's default
+ */
+public class RawServer(
     receiveBufferBytes: Int? = null,
     private val script: RawServer.(head: String, connection: Socket) -> Unit,
 ) : Closeable {
@@ -22,10 +26,12 @@
             receiveBufferBytes?.let { receiveBufferSize = it }
             bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG)
         }
-    val endpoint = Endpoint(InetAddress.getLoopbackAddress().hostAddress, listener.localPort)
+
+    /** Address of the server. */
+    public val endpoint: Endpoint = Endpoint(InetAddress.getLoopbackAddress().hostAddress, listener.localPort)
 
     /** Number of bytes that connections have taken from [sendEndless]. */
-    val sentBytes = AtomicLong()
+    public val sentBytes: AtomicLong = AtomicLong()
 
     init {
         thread(isDaemon = true) {
@@ -61,28 +67,31 @@
         return head.toString()
     }
 
-    fun send(connection: Socket, text: String) {
+    /** Sends [text], of which each character is one byte. */
+    public fun send(connection: Socket, text: String) {
         connection.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
         connection.getOutputStream().flush()
     }
 
     /** Sends [rest] again and again until the connection ends or the time is over. */
-    fun sendEndless(connection: Socket, rest: String) {
+    public fun sendEndless(connection: Socket, rest: String) {
         val bytes = rest.repeat(maxOf(1, BLOCK_BYTES / rest.length)).toByteArray(Charsets.ISO_8859_1)
         val deadline = TimeSource.Monotonic.markNow() + ENDLESS_TIME
-        while (deadline.hasNotPassedNow()) {
+        while (deadline.hasNotPassedNow() && !listener.isClosed) {
             connection.getOutputStream().write(bytes)
             sentBytes.addAndGet(bytes.size.toLong())
         }
     }
 
     /** Ends [connection] with a TCP reset. */
-    fun reset(connection: Socket) {
+    public fun reset(connection: Socket) {
         connection.setSoLinger(true, 0)
         connection.close()
     }
 
-    override fun close() = listener.close()
+    override fun close() {
+        listener.close()
+    }
 
     private companion object {
         const val BACKLOG = 100
