Never replace the end of a move that the store holds by another

Cause: an entry adopted the stored end of a move only while its own was open, and took any difference between its own end and the stored one for a status that is due. Its write named the newest version of the object, which it had just read, so that the condition did not protect what it had read there.

Fix: the first end that the store holds goes before all others, also one that an entry has decided: the platform has acted on it. Until the store holds one, a rollback by any entry goes before a completion. A stored end is never due to be replaced, not even between its receipt and the next decision. The conditional write still decides which of two ends comes first; the entry that loses reads the other and keeps it, so that all entries end alike.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveSchedule.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveSchedule.kt
@@ -72,7 +72,7 @@
         situation: Situation,
         pace: MovePace = MovePace.DOUBLING,
     ): MoveStatus {
-        if (current.phase == MovePhase.DONE || current.phase == MovePhase.TAKEN_BACK) return current
+        if (current.isFinal) return current
         val fault = situation.veto ?: faultExcess(situation.evidence)
         if (fault != null) return current.rolledBack(fault)
         val obstacle = obstacle(move, current, situation, pace)
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveStatus.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveStatus.kt
@@ -22,5 +22,5 @@
     public val detail: String = "",
 ) {
     /** Whether the move is complete or rolled back. */
-    public val isFinal: Boolean get() = phase == MovePhase.DONE || phase == MovePhase.TAKEN_BACK
+    public val isFinal: Boolean get() = phase.isFinal
 }
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/OrderedMove.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/OrderedMove.kt
@@ -45,33 +45,44 @@
     val name: String get() = move.name
     val status: MoveStatus get() = state.moves.getValue(move.name)
     val isOpen: Boolean get() = !status.isFinal
+
+    /** The phase that the store should show, null where it does; an end that it shows is never replaced. */
+    val duePhase: MovePhase?
+        get() = status.phase.reportedPhase.takeIf { it != order.writtenPhase && order.writtenPhase?.isFinal != true }
+
     private val target: String get() = order.target.value
 
     fun observe(observation: AttemptObservation, context: TrialContext) {
         if (isOpen) state = RolloutTrials.observe(state, move, observation, context)
     }
 
-    /** Adopts what the order's stored status and the [reports] of peers say, then decides on the next status. */
+    /**
+     * Adopts what the order's stored status and the [reports] of peers say, then decides on the next status.
+     *
+     * An end that the store holds goes before all others, also one that this entry has decided: the platform has acted
+     * on it, and two entries that write different ends would replace each other's for ever.
+     */
     fun advance(view: ServiceView, reports: List<MoveReport>, now: MonotonicTime) {
         reports.maxOfOrNull { it.elapsedMillis }?.let { startedAt = minOf(startedAt, now - it.milliseconds) }
         if (knownEntries == 0) knownEntries = view.entries
-        if (isOpen) adoptFinalStatus(reports)
+        adoptFinalStatus(reports)
         if (isOpen) decide(view, reports, now)
-        val reported = status.phase.reportedPhase
-        val isDue = reported != null && reported != order.writtenPhase
-        statusDueSince = if (isDue) statusDueSince ?: now else null
+        statusDueSince = if (duePhase != null) statusDueSince ?: now else null
     }
 
     private fun adoptFinalStatus(reports: List<MoveReport>) {
-        val written = order.writtenPhase?.takeIf { it == MovePhase.DONE || it == MovePhase.TAKEN_BACK }
+        val written = order.writtenPhase?.takeIf { it.isFinal }
         val isTakenBackElsewhere = reports.any { it.evidence.status?.phase == MovePhase.TAKEN_BACK }
-        val phase = written ?: MovePhase.TAKEN_BACK.takeIf { isTakenBackElsewhere }
-        if (phase != null) adoptEnd(phase)
+        when {
+            written != null -> adoptEnd(written, "the end that the store holds")
+            isTakenBackElsewhere -> adoptEnd(MovePhase.TAKEN_BACK, "taken back by another entry")
+        }
     }
 
-    /** Ends this move with the final [phase] that it is known to have reached. */
-    fun adoptEnd(phase: MovePhase) {
-        setStatus(status.copy(phase = phase, share = if (phase == MovePhase.DONE) 1.0 else 0.0))
+    /** Ends this move with the final [phase] that it is known to have reached; [detail] says by what. */
+    fun adoptEnd(phase: MovePhase, detail: String) {
+        if (phase == status.phase) return
+        setStatus(status.copy(phase = phase, share = if (phase == MovePhase.DONE) 1.0 else 0.0, detail = detail))
     }
 
     /** Returns whether [other] orders the same service and version. */
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceRollouts.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceRollouts.kt
@@ -48,7 +48,7 @@
         rejected[order.service]?.remove(order.target.value)
         val move = OrderedMove(order, formerVersion(order, servers), now, isNew)
         val isRewritten = undone.remove(order.key) && known?.isSameMove(order) == true
-        if (isRewritten) known.status.takeIf { it.isFinal }?.let { move.adoptEnd(it.phase) }
+        if (isRewritten) known.status.takeIf { it.isFinal }?.let { move.adoptEnd(it.phase, it.detail) }
         moves[order.key] = move
     }
 
@@ -113,9 +113,7 @@
     /** Returns the orders whose stored status is out of date, each with its newest phase and since when it is due. */
     public fun dueStatuses(): List<DueStatus> =
         moves.values.mapNotNull { move ->
-            move.statusDueSince?.let { since ->
-                move.status.phase.reportedPhase?.let { DueStatus(move.order, it, since) }
-            }
+            move.statusDueSince?.let { since -> move.duePhase?.let { DueStatus(move.order, it, since) } }
         }
 
     /** Records that the status of [order] was written with [phase], by which the object got [version]. */
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutExposureTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutExposureTest.kt
@@ -66,6 +66,36 @@
         }
     }
 
+    /** Guards against an entry that completes a move by what it knew before a pause, after the others' rollback. */
+    @Test
+    fun `a version that turns bad while an entry is paused is taken back once and for all entries`() {
+        for (seed in 1..SEEDS) {
+            for (begin in listOf(8.seconds, 9.seconds, 10.seconds)) {
+                val fleet =
+                    RolloutFleet(9, 120.0, 12.seconds, seed, pause = begin..begin + 3.5.seconds) { elapsed, random, _ ->
+                        Answer(fails = elapsed > begin && random.nextDouble() < 0.6)
+                    }
+                val result = fleet.play()
+                assertEquals(listOf(MovePhase.TAKEN_BACK), result.writtenEnds, "bad from $begin, seed $seed")
+                assertEquals(setOf(MovePhase.TAKEN_BACK), result.ends.toSet(), "bad from $begin, seed $seed")
+            }
+        }
+    }
+
+    /** Guards against a good version that an entry takes back because a pause has kept the others' counts from it. */
+    @Test
+    fun `a good version is completed while an entry is paused`() {
+        for (seed in 1..SEEDS) {
+            for (begin in listOf(8.seconds, 10.seconds, 11.6.seconds)) {
+                val fleet =
+                    RolloutFleet(9, 120.0, 12.seconds, seed, pause = begin..begin + 3.5.seconds) { _, _, _ -> Answer() }
+                val result = fleet.play()
+                assertEquals(listOf(MovePhase.DONE), result.writtenEnds, "pause from $begin, seed $seed")
+                assertEquals(setOf(MovePhase.DONE), result.ends.toSet(), "pause from $begin, seed $seed")
+            }
+        }
+    }
+
     /** Guards against good versions that are taken back, late, or completed over open requests. */
     @Test
     fun `a good version is completed by the time limit and no request is open at the old one`() {
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutFleet.kt
@@ -39,10 +39,12 @@
  * Many entries that move a service to a new version, under a hand-moved clock.
  *
  * Requests arrive at random; a short route and a long one share the service. Entries exchange reports as often as
- * heartbeats do, and the first one writes the status.
+ * heartbeats do, and write the status by conditional writes: the first one at once, the others later and later. An
+ * entry that goes on after a pause decides before it receives what the others and the store have reported meanwhile.
  *
  * @param newVersion answers for the new version: duration factor and failure of a request at a time since the order
  * @param reportLoss fraction of the reports that are lost
+ * @param pause time since the order in which one entry does nothing, null for none
  */
 class RolloutFleet(
     private val entries: Int,
@@ -51,12 +53,18 @@
     seed: Int,
     private val longFraction: Double = 0.0,
     private val reportLoss: Double = 0.0,
+    private val pause: ClosedRange<Duration>? = null,
     private val newVersion: (elapsed: Duration, random: Random, openAtNew: Int) -> Answer,
 ) {
     /** How the new version answers a request. */
     class Answer(val durationFactor: Double = 1.0, val fails: Boolean = false)
 
-    /** What a run showed; times are since the order, null where it did not happen. */
+    /**
+     * What a run showed; times are since the order, null where it did not happen.
+     *
+     * @property writtenEnds final phases that the store has held, in order
+     * @property ends the phase of each entry after the run
+     */
     class Result(
         val requests: Int,
         val exposed: Int,
@@ -65,6 +73,8 @@
         val openAtCompletion: Int,
         val lastExposedAt: Duration?,
         val detail: String,
+        val writtenEnds: List<MovePhase>,
+        val ends: List<MovePhase>,
     )
 
     private val random = Random(seed)
@@ -76,6 +86,7 @@
     private val long = route("long")
     private val balancers = List(entries) { LoadBalancer("entry-$it", ZONE, Random(seed * entries + it)) }
     private val rollouts = List(entries) { ServiceRollouts(exposure) }
+    private val writtenEnds = ArrayList<MovePhase>()
     private val heard = List(entries) { HashMap<Int, List<MoveReport>>() }
     private val ends = PriorityQueue<Running>(compareBy { it.endsAt })
     private var openAtNew = 0
@@ -140,9 +151,15 @@
             if (phase == MovePhase.TAKEN_BACK && rolledBackAt == null) rolledBackAt = now
         }
         val detail = rollouts.first().statuses.first().toString()
-        return Result(requests, exposed, completedAt, rolledBackAt, openAtCompletion, lastExposedAt, detail)
+        val ends = rollouts.map { it.statuses.first().phase }
+        return Result(
+            requests, exposed, completedAt, rolledBackAt, openAtCompletion, lastExposedAt, detail, writtenEnds, ends,
+        )
     }
 
+    private fun isPaused(entry: Int, now: Duration): Boolean =
+        entry == PAUSED_ENTRY && pause != null && now in pause
+
     private fun at(now: Duration) = MonotonicTime.ZERO + START + now
 
     private fun arrivals(): Int {
@@ -153,6 +170,7 @@
 
     private fun startRequest(now: Duration): String? {
         val entry = random.nextInt(entries)
+        if (isPaused(entry, now)) return null
         val isLong = random.nextDouble() < longFraction
         val route = if (isLong) long else short
         val request = ForwardRequest("r", route, service, null, 0, at(now), at(now) + 10.seconds)
@@ -205,16 +223,18 @@
         for (entry in 0 until entries) {
             val report = rollouts[entry].reports(at(now)) { _, target -> openAtOld(entry, target) }
             for (other in 0 until entries) {
-                val isHeard = other != entry && random.nextDouble() < HEARTBEAT_FRACTION * (1 - reportLoss)
+                val isHeard = other != entry && random.nextDouble() < HEARTBEAT_FRACTION * (1 - reportLoss) &&
+                    !isPaused(entry, now) && !isPaused(other, now)
                 if (isHeard) heard[other][entry] = report
             }
         }
         rollouts.forEachIndexed { entry, ofEntry ->
+            if (isPaused(entry, now)) return@forEachIndexed
             ofEntry.advance(at(now), heard[entry].values.flatten()) { _, target ->
                 ServiceView(servers, ends.size, openAtOld(entry, target), entries)
             }
         }
-        writeStatus(now)
+        (0 until entries).filterNot { isPaused(it, now) }.forEach { writeStatus(it, now) }
     }
 
     private fun openAtOld(entry: Int, target: String): OpenAttempts = balancers[entry].openAtOtherVersions(
@@ -222,10 +242,16 @@
         target,
     )
 
-    private fun writeStatus(now: Duration) {
-        val due = rollouts.first().dueStatuses().firstOrNull() ?: return
-        order = order.copy(objectVersion = ObjectVersion(order.objectVersion.value + 1), writtenPhase = due.phase)
-        rollouts.forEach { it.orderReceived(order, servers, isNew = true, at(now)) }
+    private fun writeStatus(entry: Int, now: Duration) {
+        val due = rollouts[entry].dueStatuses().firstOrNull() ?: return
+        if (at(now) - due.since < WRITE_DELAY_PER_RANK * entry) return
+        if (due.order.objectVersion == order.objectVersion) {
+            order = order.copy(objectVersion = ObjectVersion(order.objectVersion.value + 1), writtenPhase = due.phase)
+            if (due.phase.isFinal) writtenEnds += due.phase
+        }
+        for (reader in (0 until entries).filterNot { isPaused(it, now) }) {
+            rollouts[reader].orderReceived(order, servers, isNew = true, at(now))
+        }
     }
 
     private fun publish(now: Duration) {
@@ -249,10 +275,14 @@
 
     private companion object {
         const val SERVERS = 4
+
+        /** Not the first entry, whose end counts as that of the fleet. */
+        const val PAUSED_ENTRY = 1
         const val STEP_MILLIS = 200L
 
         /** Fraction of the steps in which an entry hears of another one. */
         const val HEARTBEAT_FRACTION = 0.5
+        val WRITE_DELAY_PER_RANK = 1_200.milliseconds
         const val MIN_FACTOR = 0.8
         const val MAX_FACTOR = 1.2
         val ZONE = AvailabilityZone("zone")
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/ServiceRolloutsTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/ServiceRolloutsTest.kt
@@ -66,8 +66,7 @@
     @Test
     fun `a peer's report that the version is taken back ends the move here`() {
         receive(order(), 0.seconds)
-        val status = MoveStatus(order().moveName, MovePhase.TAKEN_BACK, 0.0)
-        advance(1.seconds, listOf(MoveReport(MoveEvidence(order().moveName, status))))
+        advance(1.seconds, listOf(takenBackAtPeer()))
         assertEquals(listOf(MovePhase.TAKEN_BACK), rollouts.statuses.map { it.phase })
         assertEquals(MovePhase.TAKEN_BACK, rollouts.dueStatuses().single().phase)
     }
@@ -96,4 +95,45 @@
         receive(order(MovePhase.TAKEN_BACK), 0.seconds)
         assertEquals(emptyList(), rollouts.reports(at(1.seconds)) { _, _ -> OpenAttempts() })
     }
+
+    /** Guards against two entries that replace the stored end of a move by their own, again and again. */
+    @Test
+    fun `the first end that the store holds replaces another that this entry has decided`() {
+        completeByOwnDecision()
+        receive(order(MovePhase.TAKEN_BACK), 13.seconds)
+        assertEquals(listOf(MovePhase.TAKEN_BACK), rollouts.statuses.map { it.phase })
+        assertEquals(emptyList(), rollouts.dueStatuses())
+        assertEquals(setOf("v2"), withheld(13.seconds, old, new))
+    }
+
+    /** Guards against requests to servers that were stopped when another entry completed the move. */
+    @Test
+    fun `a completed move that the store holds replaces a rollback that this entry has decided`() {
+        receive(order(), 0.seconds)
+        advance(1.seconds, listOf(takenBackAtPeer()))
+        receive(order(MovePhase.DONE), 2.seconds)
+        advance(3.seconds, listOf(takenBackAtPeer()))
+        assertEquals(listOf(MovePhase.DONE), rollouts.statuses.map { it.phase })
+        assertEquals(emptyList(), rollouts.dueStatuses())
+    }
+
+    /** Guards against a completion that is written although a peer has proved a fault. */
+    @Test
+    fun `a peer's report that the version is taken back replaces a completion that the store does not hold`() {
+        completeByOwnDecision()
+        advance(13.seconds, listOf(takenBackAtPeer()))
+        assertEquals(MovePhase.TAKEN_BACK, rollouts.dueStatuses().single().phase)
+    }
+
+    private fun completeByOwnDecision() {
+        receive(order(), 0.seconds)
+        advance(8.seconds)
+        advance(12.seconds)
+        assertEquals(MovePhase.DONE, rollouts.dueStatuses().single().phase)
+    }
+
+    private fun takenBackAtPeer(): MoveReport {
+        val status = MoveStatus(order().moveName, MovePhase.TAKEN_BACK, 0.0)
+        return MoveReport(MoveEvidence(order().moveName, status))
+    }
 }
