Complete no move by counts from before a pause

Cause: the counts of the peers and the changes of the store wait in the sockets of an entry that was stopped, and the first decision came before they were read. The peers no longer counted as live after 3.5 s, so that it rested on the entry's own counts from before the freeze alone.

Fix: PauseDetector notices a gap of more than 1 s between heartbeats, and a move is neither completed nor given up for lack of time until the entry has run for 1 s again, in which each peer of a small fleet has sent two heartbeats and the store its change. A fault that the entry has proved itself still counts at once, and so does an end that another one has reached. The detector is asked, not started by a timer, so that no decision comes before it. A started process counts as one that was paused.

"a good version is completed while an entry is paused" passes before and after.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveSchedule.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MoveSchedule.kt
@@ -50,6 +50,7 @@
      * @property openAtOldVersion requests in execution at the old version
      * @property unrepeatableAtOldVersion those among them that can't go on at another server
      * @property isSuspicious whether the newest counts make a fault likelier than none, though it is not proven
+     * @property hasCurrentReports whether the counts of the other entries are current; a pause makes them old
      */
     public data class Situation(
         public val elapsed: Duration,
@@ -63,6 +64,7 @@
         public val openAtOldVersion: Int = 0,
         public val unrepeatableAtOldVersion: Int = 0,
         public val isSuspicious: Boolean = false,
+        public val hasCurrentReports: Boolean = true,
     )
 
     /** Returns the status that follows [current], equal to [current] where nothing changes. */
@@ -75,6 +77,7 @@
         if (current.isFinal) return current
         val fault = situation.veto ?: faultExcess(situation.evidence)
         if (fault != null) return current.rolledBack(fault)
+        if (!situation.hasCurrentReports) return current.copy(detail = "other entries' counts are not current")
         val obstacle = obstacle(move, current, situation, pace)
         val inTime = situation.elapsed < decisionTime(move, pace)
         val isCutOver = pace == MovePace.LATE_CUT_OVER && current.share >= 1.0
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/OrderedMove.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/OrderedMove.kt
@@ -116,6 +116,7 @@
             openAtOldVersion = view.ownOpenAtOldVersion.all + reports.sumOf { it.openAtOldVersion },
             unrepeatableAtOldVersion =
             view.ownOpenAtOldVersion.unrepeatable + reports.sumOf { it.unrepeatableAtOldVersion },
+            hasCurrentReports = view.hasCurrentReports,
         )
     }
 
--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceView.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/ServiceView.kt
@@ -10,10 +10,12 @@
  * @property openRequests requests in execution at all versions, over all live entries
  * @property ownOpenAtOldVersion attempts of this entry that are open at other versions than the new one
  * @property entries live entries, this one included
+ * @property hasCurrentReports whether the peers' counts are current, as they are not directly after a pause
  */
 public class ServiceView(
     public val servers: List<BackendServer>,
     public val openRequests: Int,
     public val ownOpenAtOldVersion: OpenAttempts,
     public val entries: Int,
+    public val hasCurrentReports: Boolean = true,
 )
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutFleet.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutFleet.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import org.yuccajunction.entries.PauseDetector
 import org.yuccajunction.fleet.AttemptTicket
 import org.yuccajunction.fleet.BackendServer
 import org.yuccajunction.fleet.FleetSnapshot
@@ -86,6 +87,7 @@
     private val long = route("long")
     private val balancers = List(entries) { LoadBalancer("entry-$it", ZONE, Random(seed * entries + it)) }
     private val rollouts = List(entries) { ServiceRollouts(exposure) }
+    private val pauses = List(entries) { PauseDetector(at(Duration.ZERO)) }
     private val writtenEnds = ArrayList<MovePhase>()
     private val heard = List(entries) { HashMap<Int, List<MoveReport>>() }
     private val ends = PriorityQueue<Running>(compareBy { it.endsAt })
@@ -230,8 +232,9 @@
         }
         rollouts.forEachIndexed { entry, ofEntry ->
             if (isPaused(entry, now)) return@forEachIndexed
+            val hasCurrentReports = pauses[entry].hasCurrentReports(at(now))
             ofEntry.advance(at(now), heard[entry].values.flatten()) { _, target ->
-                ServiceView(servers, ends.size, openAtOld(entry, target), entries)
+                ServiceView(servers, ends.size, openAtOld(entry, target), entries, hasCurrentReports)
             }
         }
         (0 until entries).filterNot { isPaused(it, now) }.forEach { writeStatus(it, now) }
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/ServiceRolloutsTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/ServiceRolloutsTest.kt
@@ -31,8 +31,10 @@
         advance(time)
     }
 
-    private fun advance(time: Duration, reports: List<MoveReport> = emptyList()) =
-        rollouts.advance(at(time), reports) { _, _ -> ServiceView(listOf(old, new), 0, OpenAttempts(), 2) }
+    private fun advance(time: Duration, reports: List<MoveReport> = emptyList(), hasCurrentReports: Boolean = true) =
+        rollouts.advance(at(time), reports) { _, _ ->
+            ServiceView(listOf(old, new), 0, OpenAttempts(), 2, hasCurrentReports)
+        }
 
     private fun withheld(time: Duration, vararg servers: BackendServer): Set<String> =
         rollouts.policy(servers.toList(), at(time)).withheld[old.service].orEmpty()
@@ -125,6 +127,19 @@
         assertEquals(MovePhase.TAKEN_BACK, rollouts.dueStatuses().single().phase)
     }
 
+    /** Guards against a completion that rests on counts from before a pause, in which a peer has proved a fault. */
+    @Test
+    fun `a move is not completed before the peers' reports are current`() {
+        receive(order(), 0.seconds)
+        advance(8.seconds)
+        advance(12.seconds, hasCurrentReports = false)
+        assertEquals(listOf(MovePhase.MOVING), rollouts.statuses.map { it.phase })
+        advance(16.seconds, hasCurrentReports = false)
+        assertEquals(listOf(MovePhase.MOVING), rollouts.statuses.map { it.phase })
+        advance(17.seconds)
+        assertEquals(listOf(MovePhase.DONE), rollouts.statuses.map { it.phase })
+    }
+
     private fun completeByOwnDecision() {
         receive(order(), 0.seconds)
         advance(8.seconds)
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PeerGossip.kt
@@ -20,6 +20,7 @@
 import org.yuccajunction.entries.EntryDatagram
 import org.yuccajunction.entries.EntryHeartbeat
 import org.yuccajunction.entries.EntryMessage
+import org.yuccajunction.entries.PauseDetector
 import org.yuccajunction.entries.PeerTable
 import org.yuccajunction.entries.withPlausibleValues
 import org.yuccajunction.model.Endpoint
@@ -52,6 +53,7 @@
     private var usageSentAt: MonotonicTime? = null
     private var ownOpenRequests: Map<String, Int> = emptyMap()
     private var ownBusyServers: Map<String, Double> = emptyMap()
+    private val pauses = PauseDetector(startedAt = dataPlane.now())
     private lateinit var channel: Channel
 
     val table = PeerTable(settings.name, startedAt = dataPlane.now())
@@ -69,6 +71,9 @@
     /** Returns what this entry reports to its peers of ordered moves of services. */
     var moveReports: () -> List<MoveReport> = { emptyList() }
 
+    /** Returns whether the live peers' reports are current, as they are not directly after a pause of this process. */
+    fun hasCurrentReports(): Boolean = pauses.hasCurrentReports(dataPlane.now())
+
     fun start(group: EventLoopGroup, scope: CoroutineScope) {
         channel = PeerSocket.bind(group, settings.peerEndpoint, DatagramReceiver())
         val registrations = EntryRegistrations(store, log, settings.name, settings.peerEndpoint) { name, address ->
@@ -91,6 +96,7 @@
     private suspend fun sendHeartbeatsRepeatedly() {
         while (true) {
             delay(table.heartbeatInterval(dataPlane.now()) * Random.nextDouble(MIN_JITTER, MAX_JITTER))
+            pauses.recordRunning(dataPlane.now())
             exchangeHeartbeats()
         }
     }
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Rollouts.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/Rollouts.kt
@@ -110,6 +110,7 @@
     private fun decide() {
         val now = controlPlane.now()
         val livePeers = peers.table.livePeers(now)
+        val hasCurrentReports = peers.hasCurrentReports()
         moves.advance(now, livePeers.flatMap { it.moves }) { service, target ->
             ServiceView(
                 servers = controlPlane.fleet.servers.values.filter { it.service == service },
@@ -117,6 +118,7 @@
                 (openRequests[service] ?: 0) + livePeers.sumOf { it.openRequests[service.value] ?: 0 },
                 ownOpenAtOldVersion = openByTarget[service to target] ?: OpenAttempts(),
                 entries = livePeers.size + 1,
+                hasCurrentReports = hasCurrentReports,
             )
         }
         publishPolicy()
