Reset calls of the platform that are given up

The next holder of the duties reported windows with its higher number; 0.70 s after the link had healed, 1.19 s after the last call of the new holder, the old report arrived with the lower number. An order of servers takes the same way: an old one would replace a newer one.

Cause: a call without an answer in time was ended by an orderly close, after which the system goes on sending what has not arrived. The lease bounds when a call may start and how long it waits for its answer, not when its bytes may arrive.

Fix: connections to the platform and its store linger for 0 s, so that every close is a reset: what has not arrived is dropped in the sender's system. A call starts at most 1 s after the renewal and is reset at most 0.5 s (connect) + 0.7 s (answer) later, before the new holder's first call after 2.5 s. By the option this holds for the end of the process, too (not run). The same client carries the writes of the store, whose late arrival conditions alone had to catch, also after a restore that gives revisions out again.

--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/duty/DutyLease.kt
@@ -19,9 +19,9 @@
  *
  * Before each call the holder writes the duty record conditionally; the call must start within [GRANT_VALIDITY] of the
  * start of that write. A new holder waits for [TAKEOVER_DELAY] before its first call, so that calls of the former
- * holder have ended. The delay counts from when the new holder read the record that it replaced: the conditional write
- * shows that the former holder has not renewed since. A holder that was paused while another entry took over gets a
- * conflict on its next write.
+ * holder have ended; a call without an answer in time ends so that it can't arrive later. The delay counts from when
+ * the new holder read the record that it replaced: the conditional write shows that the former holder has not renewed
+ * since. A holder that was paused while another entry took over gets a conflict on its next write.
  *
  * A restore of the store may undo records, so nothing that was read before it is used after it. The numbers of an era
  * are above all those of the eras before: an entry that was the holder, also one that the restored record names, takes
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
@@ -24,8 +24,9 @@
 /**
  * Calls the platform over pooled HTTP connections, with one call at a time on each connection.
  *
- * Confined to the control thread. A call without an answer in time closes its connection, because the other side may
- * have vanished.
+ * Confined to the control thread. A call without an answer in time resets its connection, because the other side may
+ * have vanished, and the call must not arrive once its time is over: another entry may act then. The end of the process
+ * resets the connections too.
  */
 public class PlatformHttpClient(private val loop: EventLoop) {
     private val memory = AnswerMemory(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
@@ -35,6 +36,7 @@
             .group(loop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(ChannelOption.SO_LINGER, RESET_AT_CLOSE)
 
     /** Sends one request and waits at most [timeout] for the answer; the time to connect is not included. */
     public suspend fun call(
@@ -110,6 +112,9 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MILLIS = 500
+
+        /** Seconds for which the system sends on after a close: it drops what has not arrived. */
+        const val RESET_AT_CLOSE = 0
         const val MAX_ANSWER_BYTES = 8 * 1_048_576
         const val MAX_IDLE_NANOS = 4_000_000_000L
 
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/PlatformHttpClientTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/PlatformHttpClientTest.kt
@@ -90,6 +90,23 @@
         assertEquals(listOf("own 1", "own 2"), replies.map(::body))
     }
 
+    /** Guards against a call of the former holder of the duties that arrives after those of the next one. */
+    @Test
+    fun `the rest of a call that was given up does not arrive later`() {
+        val reader = LateReader(readsAfterMillis = 1_000)
+        reader.server.use { server ->
+            val endpoint = Endpoint(InetAddress.getLoopbackAddress().hostAddress, server.port)
+            val reply =
+                runBlocking {
+                    withContext(loop.asCoroutineDispatcher()) {
+                        client.call(endpoint, "POST", "/usage", "b".repeat(LONG_BODY_BYTES), 300.milliseconds)
+                    }
+                }
+            assertIs<HttpReply.Unanswered>(reply)
+            assertTrue(reader.arrivedBytes() < LONG_BODY_BYTES, "${reader.arrivedBytes()} bytes have arrived")
+        }
+    }
+
     @Test
     fun `answers without end are broken off`() {
         val chunked = "${STATUS}transfer-encoding: chunked\r\n\r\n"
@@ -117,6 +134,7 @@
 
     private companion object {
         val TIMEOUT = 4_000.milliseconds
+        const val LONG_BODY_BYTES = 200_000
 
         /** Whole answers may have 8 MiB; the rest is for buffers of the sockets. */
         const val MAX_BYTES = 20 * 1_048_576L
