Reset the connection of a request that is given up

A request that an entry gives up, at its time limit or for another server, could still be read and executed later by a server behind a link that had held it up, after its caller was answered that it has failed or that its outcome is unknown.

Cause: the same orderly close, on connections to servers and peers and on those of the own interface.

Fix: an attempt that ends without its answer, and a call of the own interface, end their connection by a reset (Channel.reset), after which the system drops what has not arrived. Connections that carry no attempt are closed as before.

--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/http/AnswerInbox.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/http/AnswerInbox.kt
@@ -9,6 +9,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.yuccajunction.http.AnswerDecoder
 import org.yuccajunction.http.InvalidAnswerException
+import org.yuccajunction.http.reset
 import java.io.IOException
 import kotlinx.coroutines.channels.Channel as Queue
 
@@ -41,9 +42,9 @@
         throw InvalidAnswerException("the server sent no answer: ${message.decoderResult().cause().message}")
     }
 
-    /** Drops what has not been received, and closes the connection. */
+    /** Drops what has not been received, and what has not arrived of the request. */
     fun cancel() {
-        channel.close()
+        channel.reset()
         messages.cancel()
     }
 
--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/ServerConnection.kt
@@ -16,6 +16,7 @@
 import org.yuccajunction.forward.AttemptEnd
 import org.yuccajunction.http.AnswerMemory
 import org.yuccajunction.http.HeldBytes
+import org.yuccajunction.http.reset
 import org.yuccajunction.model.MonotonicTime
 import java.io.IOException
 import kotlin.time.Duration.Companion.seconds
@@ -91,14 +92,14 @@
             this.attempt = null
             attempt.end(if (isSingleWrite) AttemptEnd.UNREACHABLE else AttemptEnd.BROKEN)
         }
-        close()
+        reset()
     }
 
-    /** Abandons the current attempt and closes the connection. */
+    /** Abandons the current attempt and ends the connection. */
     fun abortAttempt() {
         attempt = null
         answer = null
-        close()
+        reset()
     }
 
     fun close() {
@@ -106,6 +107,12 @@
         channel.close()
     }
 
+    /** Ends the connection so that the rest of a request that was given up does not arrive later. */
+    private fun reset() {
+        proof.closing()
+        channel.reset()
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         proof.received()
         try {
@@ -210,7 +217,7 @@
         val current = attempt
         attempt = null
         answer = null
-        close()
+        if (current == null) close() else reset()
         current?.end(end)
     }
 
