Count a call to a host without an address as not sent

On the own interface a host name that can't be resolved counted as perhaps sent: a call that may not be repeated ended as unknown, a generation as broken, a write to the store as unknown.

Cause: since the client runs on an engine that resolves names by the platform, which throws UnknownHostException; the check knew only the exception of the former engine, and stood twice.

Fix: one check, beside the engine, knows both. It looks at the causes, too, for the platform's calls as for the others.

--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/application/HttpApplication.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/application/HttpApplication.kt
@@ -14,7 +14,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
-import org.yuccajunction.adapters.engine.isConnectFailure
+import org.yuccajunction.adapters.http.isConnectFailure
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.Header
 import org.yuccajunction.model.LoadReport
--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/engine/OpenAiModelEngine.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/engine/OpenAiModelEngine.kt
@@ -25,6 +25,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.put
 import org.yuccajunction.adapters.http.AnswerClient
+import org.yuccajunction.adapters.http.isConnectFailure
 import org.yuccajunction.model.Endpoint
 import org.yuccajunction.model.FencingNumber
 import org.yuccajunction.model.LoadReport
--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/engine/ConnectFailure.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/http/ConnectFailure.kt
@@ -1,8 +1,9 @@
-package org.yuccajunction.adapters.engine
+package org.yuccajunction.adapters.http
 
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import java.net.ConnectException
 import java.net.NoRouteToHostException
+import java.net.UnknownHostException
 import java.nio.channels.UnresolvedAddressException
 
 /** Returns whether this failure proves that no connection was made, and so no byte of the request was sent. */
@@ -11,6 +12,7 @@
         it is ConnectTimeoutException ||
             it is ConnectException ||
             it is NoRouteToHostException ||
+            it is UnknownHostException ||
             it is UnresolvedAddressException
     }
 
--- a/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/platform/HttpCallOutcome.kt
+++ b/yuccajunction-adapters/src/main/kotlin/org/yuccajunction/adapters/platform/HttpCallOutcome.kt
@@ -1,12 +1,9 @@
 package org.yuccajunction.adapters.platform
 
-import io.ktor.client.network.sockets.ConnectTimeoutException
-import io.ktor.util.network.UnresolvedAddressException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
-import java.net.ConnectException
-import java.net.NoRouteToHostException
+import org.yuccajunction.adapters.http.isConnectFailure
 
 /** Outcome of one HTTP call: the value of the response, or why there is none. */
 internal sealed interface HttpCallOutcome<out T> {
@@ -40,9 +37,3 @@
             HttpFailure(mayHaveBeenSent = !exception.isConnectFailure(), detail = exception.toString()),
         )
     }
-
-private fun Exception.isConnectFailure(): Boolean =
-    this is ConnectException ||
-        this is ConnectTimeoutException ||
-        this is NoRouteToHostException ||
-        this is UnresolvedAddressException
