--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutExposureTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutExposureTest.kt
@@ -82,6 +82,22 @@
         }
     }
 
+    /** Guards against entries that go on with different ends of a move, because each decides by its own counts. */
+    @Test
+    fun `entries that hear nothing of each other end a move alike`() {
+        for (seed in 1..SEEDS) {
+            for (badFrom in listOf(8.seconds, 9.seconds, 10.seconds)) {
+                val fleet =
+                    RolloutFleet(9, 120.0, 12.seconds, seed, reportLoss = 1.0) { elapsed, random, _ ->
+                        Answer(fails = elapsed > badFrom && random.nextDouble() < 0.6)
+                    }
+                val result = fleet.play()
+                assertEquals(1, result.writtenEnds.size, "bad from $badFrom, seed $seed: ${result.writtenEnds}")
+                assertEquals(result.writtenEnds.toSet(), result.ends.toSet(), "bad from $badFrom, seed $seed")
+            }
+        }
+    }
+
     /** Guards against a good version that an entry takes back because a pause has kept the others' counts from it. */
     @Test
     fun `a good version is completed while an entry is paused`() {
