Hold the ports of the servers that refuse connections in tests

A fault of the test. RefusingServer holds the port by a socket that does not listen; OddAnswerPlacesTest, which did the same, uses it too. The checks are unchanged.

--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/EntryRelayTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/EntryRelayTest.kt
@@ -20,7 +20,7 @@
         script: (String, Socket) -> Unit,
         test: (first: GatewayFixture, peer: GatewayFixture, server: ScriptedServer) -> Unit,
     ) {
-        val unreachable = List(2) { ScriptedServer { _, _ -> } }.onEach { it.close() }
+        val unreachable = List(2) { RefusingServer() }
         val server = ScriptedServer(script)
         GatewayFixture(*unreachable.toTypedArray()).use { first ->
             GatewayFixture(server).use { peer ->
@@ -28,6 +28,7 @@
                 test(first, peer, server)
             }
         }
+        unreachable.forEach { it.close() }
         server.close()
     }
 
@@ -80,14 +81,15 @@
     /** Guards against entries that forward a request to each other in turn. */
     @Test
     fun `an entry that reaches no server either refuses what a peer forwards to it`() {
-        val closed = List(2) { ScriptedServer { _, _ -> } }.onEach { it.close() }
-        GatewayFixture(*closed.toTypedArray()).use { first ->
-            GatewayFixture(*closed.toTypedArray()).use { second ->
+        val unreachable = List(2) { RefusingServer() }
+        GatewayFixture(*unreachable.toTypedArray()).use { first ->
+            GatewayFixture(*unreachable.toTypedArray()).use { second ->
                 first.addPeer("second", second)
                 second.addPeer("first", first)
                 assertContains(first.exchange("/safe/a"), "HTTP/1.1 503")
             }
         }
+        unreachable.forEach { it.close() }
     }
 
     /** Guards against the quota of a workspace that is charged at both entries. */
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/GatewayFixture.kt
@@ -34,7 +34,7 @@
 
 /** Runs the data plane of one entry on loopback, in front of the scripted [servers] and one of another service. */
 class GatewayFixture internal constructor(
-    private vararg val servers: ScriptedServer,
+    private vararg val servers: LoopbackServer,
     private val otherServer: ScriptedServer? = null,
     private val timeLimit: Duration = TIME_LIMIT,
     private val maxBodyBytes: Int = 10_000,
@@ -141,7 +141,7 @@
         )
     }
 
-    private fun listing(id: String, service: ServiceName, server: ScriptedServer) =
+    private fun listing(id: String, service: ServiceName, server: LoopbackServer) =
         BackendServer(
             BackendServerId(id),
             service,
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/OddAnswerPlacesTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/OddAnswerPlacesTest.kt
@@ -1,5 +1,6 @@
 package org.yuccajunction.gateway
 
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -19,12 +20,16 @@
 /** Bytes that are no answer by the grammar of HTTP, in other places than the answer to a request. */
 @Timeout(120, unit = TimeUnit.SECONDS)
 class OddAnswerPlacesTest {
+    private val unreachable = RefusingServer()
+
+    @AfterEach
+    fun close() = unreachable.close()
+
     /** Guards against an answer that a peer passes on, or sends by itself, though it is none (MIXED). */
     @ParameterizedTest
     @ValueSource(strings = ["/once/x", "/safe/x", "/stream-once/x", "/stream/x"])
     fun `an answer of a peer that is none is answered with 502`(path: String) {
         for (head in HEADS) {
-            val unreachable = ScriptedServer { _, _ -> }.also { it.close() }
             val peer =
                 ScriptedServer { request, connection ->
                     connection.send((head + FIELDS).replace("ID", requestId(request)) + "\r\n" + EVENT)
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/ScriptedServer.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/ScriptedServer.kt
@@ -19,7 +19,8 @@
     receiveBufferBytes: Int?,
     private val readRequest: (connection: Socket) -> String?,
     private val script: (request: String, connection: Socket) -> Unit,
-) : Closeable {
+) : LoopbackServer,
+    Closeable {
     constructor(script: (request: String, connection: Socket) -> Unit) : this(null, ::readRequest, script)
 
     private val listener =
@@ -27,7 +28,7 @@
             receiveBufferBytes?.let { receiveBufferSize = it }
             bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
         }
-    val port: Int get() = listener.localPort
+    override val port: Int get() = listener.localPort
     val requests = CopyOnWriteArrayList<String>()
     val endedConnections = CopyOnWriteArrayList<Int>()
     val connections = CopyOnWriteArrayList<Socket>()
