Close the connection of a call of the platform that is cancelled while it connects

A call of the store that ends while its connection is being opened, as a watch does that a refresh or an outage cancels, left the opened connection behind, which no other call used and only the other side would close.

Cause: the wait for the connection ended, but nothing closed the connection that came later.

Evidence: "a call that is cancelled while it connects leaves no connection" failed before: the server still had its connection 4 s later ("expected: <[0]> but was: <[]>").

--- a/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
+++ b/yuccajunction-gateway/src/main/kotlin/org/yuccajunction/gateway/PlatformHttpClient.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccajunction.http.AnswerDecoder
@@ -79,7 +80,12 @@
         val connected = CompletableDeferred<Channel?>()
         val future = bootstrap.clone().handler(Initializer()).connect(endpoint.host, endpoint.port)
         future.addListener { connected.complete(future.channel().takeIf { future.isSuccess }) }
-        return connected.await()
+        try {
+            return connected.await()
+        } catch (cancellation: CancellationException) {
+            future.addListener { future.channel().close() }
+            throw cancellation
+        }
     }
 
     private fun request(
--- a/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/PlatformHttpClientTest.kt
+++ b/yuccajunction-gateway/src/test/kotlin/org/yuccajunction/gateway/PlatformHttpClientTest.kt
@@ -2,7 +2,10 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.AfterEach
@@ -21,6 +24,7 @@
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Calls of the platform, such as those of its store, whose answers are broken or have no end. */
 @Timeout(60, unit = TimeUnit.SECONDS)
@@ -107,6 +111,22 @@
         }
     }
 
+    /** Guards against connections that stay open for ever, one for each call that ends while it connects. */
+    @Test
+    fun `a call that is cancelled while it connects leaves no connection`() {
+        ScriptedServer { _, _ -> }.use { server ->
+            val endpoint = Endpoint(InetAddress.getLoopbackAddress().hostAddress, server.port)
+            runBlocking(loop.asCoroutineDispatcher()) {
+                val call =
+                    launch(start = CoroutineStart.UNDISPATCHED) { client.call(endpoint, "GET", "/", null, TIMEOUT) }
+                call.cancelAndJoin()
+            }
+            val deadline = TimeSource.Monotonic.markNow() + TIMEOUT
+            while (server.endedConnections.isEmpty() && deadline.hasNotPassedNow()) Thread.sleep(10)
+            assertEquals(listOf(0), server.endedConnections.toList())
+        }
+    }
+
     @Test
     fun `answers without end are broken off`() {
         val chunked = "${STATUS}transfer-encoding: chunked\r\n\r\n"
