--- a/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MovePhase.kt
+++ b/yuccajunction-core/src/main/kotlin/org/yuccajunction/rollout/MovePhase.kt
@@ -12,7 +12,7 @@
     TAKEN_BACK,
     ;
 
-    /** Whether a move stays in this phase for good. */
+    /** Whether this phase ends a move. */
     public val isFinal: Boolean get() = this == DONE || this == TAKEN_BACK
 
     /** The phase that the status of an order reports to the operator, null where it reports none yet. */
--- a/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutExposureTest.kt
+++ b/yuccajunction-core/src/test/kotlin/org/yuccajunction/rollout/RolloutExposureTest.kt
@@ -84,7 +84,7 @@
 
     /** Guards against entries that go on with different ends of a move, because each decides by its own counts. */
     @Test
-    fun `entries that hear nothing of each other end a move alike`() {
+    fun `entries that receive no reports of each other end a move alike`() {
         for (seed in 1..SEEDS) {
             for (badFrom in listOf(8.seconds, 9.seconds, 10.seconds)) {
                 val fleet =
